--- /dev/null
+++ b/gypsumlock/admission/__init__.py
@@ -0,0 +1,22 @@
+"""Admission of calls by rank at the node that owns the slots."""
+
+from gypsumlock.admission.gate import Gate, Permit
+from gypsumlock.admission.limit import ConcurrencyLimit
+from gypsumlock.admission.policy import (
+    FifoPolicy,
+    QueuePolicy,
+    RankedPolicy,
+    StrictPolicy,
+    Waiter,
+)
+
+__all__ = [
+    "ConcurrencyLimit",
+    "FifoPolicy",
+    "Gate",
+    "Permit",
+    "QueuePolicy",
+    "RankedPolicy",
+    "StrictPolicy",
+    "Waiter",
+]
--- /dev/null
+++ b/gypsumlock/blackboard/__init__.py
@@ -0,0 +1,23 @@
+"""What the node knows now, as typed entries that controllers read and write."""
+
+from gypsumlock.blackboard.board import (
+    Board,
+    HeadSeen,
+    HeldVersion,
+    LocalUpstream,
+    PeerState,
+    Recovery,
+    SourceHealth,
+)
+from gypsumlock.blackboard.entry import Entry
+
+__all__ = [
+    "Board",
+    "Entry",
+    "HeadSeen",
+    "HeldVersion",
+    "LocalUpstream",
+    "PeerState",
+    "Recovery",
+    "SourceHealth",
+]
--- /dev/null
+++ b/gypsumlock/cli/parser.py
@@ -0,0 +1,146 @@
+"""The arguments of the command line."""
+
+from __future__ import annotations
+
+import argparse
+import getpass
+import os
+
+from gypsumlock import __version__
+from gypsumlock.cli import commands
+
+__all__ = ["make_parser"]
+
+NODE_VARIABLE = "GYPSUMLOCK_NODE"
+TOKEN_VARIABLE = "GYPSUMLOCK_TOKEN_FILE"
+DEFAULT_NODE = "http://127.0.0.1:7004"
+DEFAULT_TOKEN_FILE = "operator.token"
+DEFAULT_TIMEOUT_S = 30.0
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Return the parser; each verb stores its command in `run`."""
+    parser = argparse.ArgumentParser(
+        prog="gypsumlock", description="Operate a gypsumlock fleet through any node."
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    parser.add_argument(
+        "--node",
+        default=os.environ.get(NODE_VARIABLE, DEFAULT_NODE),
+        help=f"operator address of any node (${NODE_VARIABLE} or {DEFAULT_NODE})",
+    )
+    parser.add_argument(
+        "--token-file",
+        default=os.environ.get(TOKEN_VARIABLE, DEFAULT_TOKEN_FILE),
+        help=f"file with the operator token (default: ${TOKEN_VARIABLE})",
+    )
+    parser.add_argument("--output", choices=("text", "json"), default="text")
+    parser.add_argument(
+        "--timeout", type=float, default=DEFAULT_TIMEOUT_S, help="seconds to wait"
+    )
+    verbs = parser.add_subparsers(dest="verb", required=True, metavar="VERB")
+    _add_default(verbs)
+    _add_exception(verbs)
+    _add_queries(verbs)
+    _add_restore(verbs)
+    _add_settings(verbs)
+    return parser
+
+
+def _add_default(verbs: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    parser = verbs.add_parser("default", help="show or change fleet-wide defaults")
+    actions = parser.add_subparsers(dest="action", required=True, metavar="ACTION")
+    show = actions.add_parser("show", help="show all defaults")
+    show.set_defaults(run=commands.show_defaults)
+    put = actions.add_parser("set", help="set one default")
+    put.add_argument("path", help="such as routes.book.timeout_s")
+    put.add_argument("value", help="new value, read as YAML")
+    _add_change_options(put)
+    put.set_defaults(run=commands.set_default)
+    load = actions.add_parser("load", help="replace all defaults by a YAML file")
+    load.add_argument("file")
+    _add_change_options(load)
+    load.set_defaults(run=commands.load_defaults)
+
+
+def _add_exception(verbs: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    parser = verbs.add_parser("exception", help="list or change exceptions")
+    actions = parser.add_subparsers(dest="action", required=True, metavar="ACTION")
+    listing = actions.add_parser("list", help="list all exceptions")
+    listing.set_defaults(run=commands.list_exceptions)
+    for action, run, text in (
+        ("add", commands.add_exception, "add an exception"),
+        ("edit", commands.edit_exception, "replace an exception"),
+    ):
+        change = actions.add_parser(action, help=text)
+        change.add_argument("name")
+        _add_selector(change)
+        _add_overrides(change)
+        change.add_argument("--review-on", default="", help="date as YYYY-MM-DD")
+        _add_change_options(change, reason_required=True)
+        change.set_defaults(run=run)
+    remove = actions.add_parser("remove", help="remove an exception")
+    remove.add_argument("name")
+    _add_change_options(remove)
+    remove.set_defaults(run=commands.remove_exception)
+
+
+def _add_selector(parser: argparse.ArgumentParser) -> None:
+    group = parser.add_argument_group("where it is in effect (all of these)")
+    group.add_argument("--service", default="")
+    group.add_argument("--route", default="")
+    group.add_argument("--zone", default="", help="zone of the handling node")
+    group.add_argument("--instance", default="", help="instance of that node")
+
+
+def _add_overrides(parser: argparse.ArgumentParser) -> None:
+    group = parser.add_argument_group("what it replaces")
+    group.add_argument("--set-timeout", type=float, metavar="SECONDS")
+    group.add_argument("--set-max-attempts", type=int, metavar="COUNT")
+    group.add_argument("--set-rank", metavar="RANK")
+    group.add_argument("--set-accept-calls", choices=("true", "false"))
+
+
+def _add_queries(verbs: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    status = verbs.add_parser("status", help="show the state of the node")
+    status.set_defaults(run=commands.show_status)
+    upstreams = verbs.add_parser("upstreams", help="list upstreams the node knows")
+    upstreams.set_defaults(run=commands.list_upstreams)
+    history = verbs.add_parser("history", help="list accepted versions")
+    history.add_argument("--limit", type=int, default=20)
+    history.set_defaults(run=commands.show_history)
+    diff = verbs.add_parser("diff", help="show what changed between two versions")
+    diff.add_argument("before", type=int, nargs="?", help="default: the one before")
+    diff.add_argument("after", type=int, nargs="?", help="default: the newest")
+    diff.set_defaults(run=commands.show_diff)
+    wait = verbs.add_parser("wait", help="wait until a version is in force everywhere")
+    wait.add_argument("wanted", type=int, nargs="?", help="default: the newest")
+    wait.set_defaults(run=commands.wait_converged)
+
+
+def _add_restore(verbs: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    restore = verbs.add_parser(
+        "restore", help="make a new version with the content of an older one"
+    )
+    restore.add_argument("older", type=int)
+    _add_change_options(restore)
+    restore.set_defaults(run=commands.restore)
+
+
+def _add_settings(verbs: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    settings = verbs.add_parser("settings", help="work with settings files")
+    actions = settings.add_subparsers(dest="action", required=True, metavar="ACTION")
+    check = actions.add_parser("check", help="check a node's settings file")
+    check.add_argument("file")
+    check.set_defaults(run=commands.check_settings)
+
+
+def _add_change_options(
+    parser: argparse.ArgumentParser, reason_required: bool = False
+) -> None:
+    parser.add_argument("--reason", required=reason_required, default="")
+    parser.add_argument("--author", default=getpass.getuser())
+    parser.add_argument(
+        "--operation-id",
+        help="repeat an earlier request whose outcome is unknown",
+    )
--- /dev/null
+++ b/gypsumlock/distribution/head_poll.py
@@ -0,0 +1,85 @@
+"""Reads the accepted head from the source at a rate the whole fleet shares.
+
+Each node waits so long between reads that all nodes together make a fixed
+number of reads a second, whatever their count. Pushes between nodes carry news
+faster; the poll finds what a push has missed.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from dataclasses import replace
+
+import anyio
+from result import Err
+
+from gypsumlock import defaults
+from gypsumlock.blackboard import Board, SourceHealth
+from gypsumlock.controller import Backoff, Controller
+from gypsumlock.distribution.rows import read_head
+from gypsumlock.logs import Part, part_log
+from gypsumlock.platform import TableService
+from gypsumlock.result_codes import Fault
+
+__all__ = ["HeadPollController", "poll_interval_s"]
+
+log = part_log(Part.PLATFORM)
+
+
+def poll_interval_s(members: int, fleet_reads_per_s: float) -> float:
+    """Return the mean time between two reads of one node, in seconds."""
+    return max(defaults.MIN_HEAD_POLL_S, members / fleet_reads_per_s)
+
+
+class HeadPollController(Controller):
+    """Keeps `head` and `source` current from the table service."""
+
+    def __init__(
+        self, board: Board, table: TableService, fleet_reads_per_s: float
+    ) -> None:
+        self._board = board
+        self._table = table
+        self._fleet_reads_per_s = fleet_reads_per_s
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        backoff = Backoff()
+        while True:
+            if await self._poll():
+                backoff.reset()
+                await self._wait_interval()
+            else:
+                await backoff.wait()
+                if not self._is_urgent():
+                    await self._wait_interval()
+
+    async def _poll(self) -> bool:
+        found = await read_head(self._table)
+        if isinstance(found, Err):
+            self._note_failure(found.err_value)
+            return False
+        ref = found.ok_value.ref
+        if not self._board.source.read().reachable:
+            log.info("source answers", head=ref.version)
+        self._board.source.write(SourceHealth(True, time.monotonic(), ref.version))
+        self._board.learn_head(ref, None)
+        return True
+
+    def _note_failure(self, fault: Fault) -> None:
+        health = self._board.source.read()
+        if health.reachable or health.read_at_s == 0:
+            log.warning("source does not answer", fault=fault.text())
+        self._board.source.write(replace(health, reachable=False))
+
+    def _is_urgent(self) -> bool:
+        """Tell whether the node waits for the source to be able to serve."""
+        return self._board.table.read() is None or not self._board.fresh.read()
+
+    async def _wait_interval(self) -> None:
+        """Wait for the fleet's share, or until the process woke from a pause."""
+        members = len(self._board.members.others()) + 1
+        mean_s = poll_interval_s(members, self._fleet_reads_per_s)
+        with anyio.move_on_after(mean_s * random.uniform(0.5, 1.5)):
+            await self._board.fresh.wait_until(lambda fresh: not fresh)
+            await anyio.sleep(random.uniform(0, defaults.RETRY_BASE_S))
--- /dev/null
+++ b/gypsumlock/distribution/history.py
@@ -0,0 +1,72 @@
+"""Reads accepted versions back from the platform: who, when, why and what."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from gypsumlock.distribution.payload import SnapshotReader
+from gypsumlock.distribution.rows import (
+    VERSION_PREFIX,
+    decode_version_row,
+    version_key,
+)
+from gypsumlock.model import EMPTY_SNAPSHOT, Origin, Snapshot
+from gypsumlock.platform import TableService
+from gypsumlock.result_codes import Fault, ResultCode
+
+__all__ = ["History", "HistoryEntry"]
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryEntry:
+    """One accepted version without its content."""
+
+    version: int
+    parent: int
+    digest_hex: str
+    origin: Origin
+
+
+class History:
+    """Access to all accepted versions."""
+
+    __slots__ = ("_reader", "_table")
+
+    def __init__(self, table: TableService, reader: SnapshotReader) -> None:
+        self._table = table
+        self._reader = reader
+
+    async def newest(self, limit: int) -> Result[list[HistoryEntry], Fault]:
+        """Return up to `limit` versions, the newest first."""
+        rows = await self._table.scan(VERSION_PREFIX, "", limit)
+        if isinstance(rows, Err):
+            return rows
+        entries = []
+        for row in rows.ok_value:
+            decoded = decode_version_row(row)
+            if isinstance(decoded, Err):
+                return decoded
+            found = decoded.ok_value
+            entries.append(
+                HistoryEntry(
+                    found.version, found.parent, found.digest_hex, found.origin
+                )
+            )
+        return Ok(entries)
+
+    async def snapshot(self, version: int) -> Result[Snapshot, Fault]:
+        """Return the content of a version, or `CONFIG_UNKNOWN_VERSION`."""
+        if version == 0:
+            return Ok(EMPTY_SNAPSHOT)
+        row = await self._table.get(version_key(version))
+        if isinstance(row, Err):
+            return row
+        if row.ok_value is None:
+            found = f"there is no version {version}"
+            return Err(Fault(ResultCode.CONFIG_UNKNOWN_VERSION, found))
+        decoded = decode_version_row(row.ok_value)
+        if isinstance(decoded, Err):
+            return decoded
+        return await self._reader.read(decoded.ok_value.ref())
--- /dev/null
+++ b/gypsumlock/distribution/pause.py
@@ -0,0 +1,68 @@
+"""Notices that the process did not run for a while, and checks its version.
+
+A process that was stopped and continued may have missed versions that all
+others run. It carries no calls until the source, or enough neighbours, have
+answered after the pause and it runs the newest version that they named.
+"""
+
+from __future__ import annotations
+
+import time
+
+import anyio
+
+from gypsumlock import defaults
+from gypsumlock.blackboard import Board
+from gypsumlock.controller import Controller
+from gypsumlock.logs import Part, part_log
+from gypsumlock.membership.overlay import recovery_answers_needed
+
+__all__ = ["PauseController"]
+
+log = part_log(Part.NODE)
+
+
+class PauseController(Controller):
+    """Writes the tick, and `fresh` after a pause."""
+
+    def __init__(self, board: Board) -> None:
+        self._board = board
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            await anyio.sleep(defaults.TICK_INTERVAL_S)
+            now_s = time.monotonic()
+            paused_s = now_s - self._board.last_tick_s
+            if paused_s > defaults.PAUSE_LIMIT_S:
+                # Written before the tick, so that no call slips in between.
+                self._board.fresh.write(False)
+                self._board.last_tick_s = now_s
+                log.warning("process was paused", pause_s=round(paused_s, 2))
+                await self._check_version(now_s)
+            self._board.last_tick_s = time.monotonic()
+
+    async def _check_version(self, resumed_at_s: float) -> None:
+        while not self._is_current(resumed_at_s):
+            self._board.poke.write(None)
+            await anyio.sleep(defaults.CONFIRM_INTERVAL_S)
+            if self._board.paused():
+                # Paused again: what was answered before says nothing now.
+                resumed_at_s = time.monotonic()
+            self._board.last_tick_s = time.monotonic()
+        self._board.fresh.write(True)
+        log.info("version checked", version=self._board.version_in_force())
+
+    def _is_current(self, resumed_at_s: float) -> bool:
+        if self._board.version_in_force() < self._board.head.read().ref.version:
+            return False
+        if self._board.source.read().read_at_s > resumed_at_s:
+            return True
+        known = self._board.members.known_others()
+        if known == 0:
+            return False
+        answered = sum(
+            state.reported_at_s > resumed_at_s
+            for state in self._board.peers.read().values()
+        )
+        return answered >= recovery_answers_needed(known)
--- /dev/null
+++ b/gypsumlock/distribution/payload.py
@@ -0,0 +1,61 @@
+"""Reads a snapshot from the blackboard or from the object store."""
+
+from __future__ import annotations
+
+import zlib
+
+from result import Err, Ok, Result
+
+from gypsumlock import defaults
+from gypsumlock.blackboard import Board
+from gypsumlock.model import (
+    EMPTY_REF,
+    EMPTY_SNAPSHOT,
+    Snapshot,
+    VersionRef,
+    decode_snapshot,
+)
+from gypsumlock.platform import ObjectStore
+from gypsumlock.result_codes import Fault, ResultCode
+
+__all__ = ["SnapshotReader", "compress", "decompress"]
+
+
+def compress(payload: bytes) -> bytes:
+    """Compress an encoded snapshot for the way between nodes."""
+    return zlib.compress(payload, level=6)
+
+
+def decompress(payload: bytes) -> Result[bytes, Fault]:
+    """Undo `compress`, refusing what grows beyond the largest snapshot."""
+    inflater = zlib.decompressobj()
+    try:
+        plain = inflater.decompress(payload, defaults.MAX_SNAPSHOT_BYTES + 1)
+    except zlib.error as error:
+        return Err(Fault(ResultCode.SNAPSHOT_DIGEST_MISMATCH, str(error)))
+    if len(plain) > defaults.MAX_SNAPSHOT_BYTES:
+        found = "the compressed snapshot is larger than allowed"
+        return Err(Fault(ResultCode.SNAPSHOT_DIGEST_MISMATCH, found))
+    return Ok(plain)
+
+
+class SnapshotReader:
+    """Finds the snapshot of a reference, the held one without any reads."""
+
+    __slots__ = ("_board", "_objects")
+
+    def __init__(self, board: Board, objects: ObjectStore) -> None:
+        self._board = board
+        self._objects = objects
+
+    async def read(self, ref: VersionRef) -> Result[Snapshot, Fault]:
+        """Return the snapshot that `ref` names."""
+        if ref == EMPTY_REF:
+            return Ok(EMPTY_SNAPSHOT)
+        held = self._board.held.read()
+        if held is not None and held.ref == ref:
+            return Ok(held.snapshot)
+        payload = await self._objects.fetch(ref.digest.hex())
+        if isinstance(payload, Err):
+            return payload
+        return decode_snapshot(payload.ok_value, ref)
--- /dev/null
+++ b/gypsumlock/http_app.py
@@ -0,0 +1,132 @@
+"""Small parts that the node's own HTTP endpoints share."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import Iterator
+from typing import Any, TypeVar
+
+import msgspec
+import uvicorn
+from result import Err, Ok, Result
+
+from gypsumlock import defaults
+from gypsumlock.proxy.request import Receive, Send
+from gypsumlock.result_codes import Fault, ResultCode, entry_of
+
+__all__ = [
+    "HttpServer",
+    "decode_body",
+    "listen",
+    "read_body",
+    "send_faults",
+    "send_json",
+]
+
+T = TypeVar("T")
+
+LISTEN_BACKLOG = 1024
+
+
+class HttpServer(uvicorn.Server):
+    """A uvicorn server that leaves signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Capture nothing."""
+        yield
+
+
+def make_server(app: Any) -> HttpServer:
+    """Return a server for an ASGI application."""
+    config = uvicorn.Config(
+        app,
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        interface="asgi3",
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        date_header=False,
+        timeout_keep_alive=defaults.SERVER_KEEP_ALIVE_S,
+        h11_max_incomplete_event_size=defaults.MAX_HEADER_BYTES,
+    )
+    config.load()
+    return HttpServer(config)
+
+
+def listen(address: str, path: str) -> Result[socket.socket, Fault]:
+    """Return a listening socket, or `PORT_IN_USE`.
+
+    Parameters
+    ----------
+    address : str
+        `IP:port`; port 0 takes a free one.
+    path : str
+        Settings path to name in the fault.
+    """
+    host, _, port = address.rpartition(":")
+    host = host.strip("[]")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((host, int(port)))
+        sock.listen(LISTEN_BACKLOG)
+    except (OSError, OverflowError) as error:
+        sock.close()
+        found = f"can't listen on {address}: {getattr(error, 'strerror', error)}"
+        return Err(Fault(ResultCode.PORT_IN_USE, found, path))
+    sock.setblocking(False)
+    return Ok(sock)
+
+
+async def read_body(receive: Receive) -> Result[bytes, Fault]:
+    """Read a whole request body within the bound for operators."""
+    body = bytearray()
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return Err(Fault(ResultCode.OPERATOR_BAD_BODY, "the body broke off"))
+        body += message.get("body", b"")
+        if len(body) > defaults.MAX_OPERATOR_BODY_BYTES:
+            found = f"allowed: {defaults.MAX_OPERATOR_BODY_BYTES} bytes"
+            return Err(Fault(ResultCode.OPERATOR_BODY_TOO_LARGE, found))
+        if not message.get("more_body", False):
+            return Ok(bytes(body))
+
+
+def decode_body(body: bytes, kind: type[T]) -> Result[T, Fault]:
+    """Decode a JSON body into a typed message."""
+    try:
+        return Ok(msgspec.json.decode(body, type=kind))
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return Err(Fault(ResultCode.OPERATOR_BAD_BODY, str(error)))
+
+
+async def send_json(send: Send, status: int, value: object) -> None:
+    """Answer with a JSON document."""
+    body = msgspec.json.encode(value)
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(body)).encode()),
+    ]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
+
+
+async def send_faults(send: Send, faults: list[Fault]) -> None:
+    """Answer with numbered faults; the first one decides the status."""
+    status = entry_of(faults[0].code).http_status or 500
+    shown = [
+        {
+            "code": fault.code.value,
+            "name": fault.code.name,
+            "detail": fault.detail,
+            "path": fault.path,
+        }
+        for fault in faults
+    ]
+    await send_json(send, status, {"faults": shown})
--- /dev/null
+++ b/gypsumlock/logs.py
@@ -0,0 +1,100 @@
+"""Structured logs: one prefix for each part of the node.
+
+A line is a short sentence plus typed fields. Text lines show the fields as
+`key=value`; JSON lines carry them under `fields`.
+"""
+
+from __future__ import annotations
+
+import sys
+from enum import StrEnum
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+from loguru import logger
+
+from gypsumlock.options import LogOptions
+
+if TYPE_CHECKING:
+    from loguru import Message, Record
+
+__all__ = ["Part", "PartLog", "configure_logs", "part_log"]
+
+
+class Part(StrEnum):
+    """Fixed log prefix of each part."""
+
+    NODE = "node"
+    MEMBERS = "members"
+    CONFIG = "config"
+    ACCEPT = "accept"
+    ROUTE = "route"
+    ADMIT = "admit"
+    PLATFORM = "platform"
+    OPERATOR = "operator"
+    UPSTREAM = "upstream"
+
+
+_JSON: Final = msgspec.json.Encoder(enc_hook=str)
+
+
+class PartLog:
+    """Writes log lines under the prefix of one part."""
+
+    __slots__ = ("_logger",)
+
+    def __init__(self, part: Part) -> None:
+        self._logger = logger.bind(part=part.value)
+
+    def debug(self, sentence: str, **fields: object) -> None:
+        """Log a detail, such as the routing decision of one call."""
+        self._logger.bind(fields=fields).debug(sentence)
+
+    def info(self, sentence: str, **fields: object) -> None:
+        """Log a change of state."""
+        self._logger.bind(fields=fields).info(sentence)
+
+    def warning(self, sentence: str, **fields: object) -> None:
+        """Log something that an operator may have to act on."""
+        self._logger.bind(fields=fields).warning(sentence)
+
+    def error(self, sentence: str, **fields: object) -> None:
+        """Log a failure of the node itself."""
+        self._logger.bind(fields=fields).error(sentence)
+
+
+def part_log(part: Part) -> PartLog:
+    """Return the log of a part."""
+    return PartLog(part)
+
+
+def configure_logs(options: LogOptions) -> None:
+    """Send all log lines to standard error in the wanted format."""
+    logger.remove()
+    if options.format == "json":
+        logger.add(_write_json, level=options.level)
+    else:
+        logger.add(sys.stderr, level=options.level, format=_text_format)
+
+
+def _text_format(record: Record) -> str:
+    fields = record["extra"].get("fields", {})
+    shown = "".join(f" {name}={value}" for name, value in fields.items())
+    record["extra"]["shown"] = shown
+    record["extra"].setdefault("part", Part.NODE.value)
+    return (
+        "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {extra[part]}: "
+        "{message}{extra[shown]}\n"
+    )
+
+
+def _write_json(message: Message) -> None:
+    record = message.record
+    line = {
+        "time": record["time"].isoformat(),
+        "level": record["level"].name,
+        "part": record["extra"].get("part", Part.NODE.value),
+        "message": record["message"],
+        "fields": record["extra"].get("fields", {}),
+    }
+    sys.stderr.write(_JSON.encode(line).decode() + "\n")
--- /dev/null
+++ b/gypsumlock/metrics/metrics.py
@@ -0,0 +1,86 @@
+"""Counters and latency histograms, readable while the node runs."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import Final
+
+from hdrh.histogram import HdrHistogram
+
+__all__ = ["HistogramSummary", "Metrics", "MetricsReport"]
+
+# Range of the histograms in microseconds, and their precision.
+LOWEST_US: Final = 1
+HIGHEST_US: Final = 600_000_000
+SIGNIFICANT_DIGITS: Final = 2
+
+
+@dataclass(frozen=True, slots=True)
+class HistogramSummary:
+    """Percentiles of one histogram, in milliseconds."""
+
+    count: int
+    p50_ms: float
+    p99_ms: float
+    max_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class MetricsReport:
+    """All metrics at one moment."""
+
+    counters: dict[str, int]
+    latencies: dict[str, HistogramSummary]
+    convergence: HistogramSummary
+
+
+class Metrics:
+    """What one node has counted and timed since its start."""
+
+    __slots__ = ("_convergence", "_counters", "_latencies")
+
+    def __init__(self) -> None:
+        self._counters: Counter[str] = Counter()
+        self._latencies: dict[str, HdrHistogram] = {}
+        # Time from acceptance to in force at this node.
+        self._convergence = _histogram()
+
+    def count(self, name: str) -> None:
+        """Add one to a counter."""
+        self._counters[name] += 1
+
+    def record_latency(self, rank: str, latency_s: float) -> None:
+        """Record how long a call of some rank took, in seconds."""
+        if rank not in self._latencies:
+            self._latencies[rank] = _histogram()
+        self._latencies[rank].record_value(_to_us(latency_s))
+
+    def record_convergence(self, duration_s: float) -> None:
+        """Record the time from acceptance to in force here, in seconds."""
+        self._convergence.record_value(_to_us(duration_s))
+
+    def report(self) -> MetricsReport:
+        """Return all metrics as they are now."""
+        return MetricsReport(
+            counters=dict(self._counters),
+            latencies={name: _summary(h) for name, h in self._latencies.items()},
+            convergence=_summary(self._convergence),
+        )
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+
+
+def _to_us(duration_s: float) -> int:
+    return min(HIGHEST_US, max(LOWEST_US, int(duration_s * 1_000_000)))
+
+
+def _summary(histogram: HdrHistogram) -> HistogramSummary:
+    return HistogramSummary(
+        count=histogram.get_total_count(),
+        p50_ms=histogram.get_value_at_percentile(50) / 1000,
+        p99_ms=histogram.get_value_at_percentile(99) / 1000,
+        max_ms=histogram.get_max_value() / 1000,
+    )
--- /dev/null
+++ b/gypsumlock/operator/messages.py
@@ -0,0 +1,201 @@
+"""Typed bodies of the operator API, shared with the command line."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Annotated, Any
+
+from msgspec import Meta
+
+from gypsumlock.metrics import MetricsReport
+from gypsumlock.model import (
+    ConfigException,
+    Defaults,
+    Origin,
+    Overrides,
+    Selector,
+)
+from gypsumlock.model.ranks import Name
+
+__all__ = [
+    "ConvergenceReport",
+    "DefaultsReport",
+    "ExceptionBody",
+    "ExceptionsReport",
+    "FaultEntry",
+    "FaultsReport",
+    "LaggingNode",
+    "LoadDefaultsBody",
+    "RemoveBody",
+    "RestoreBody",
+    "SetDefaultBody",
+    "StatusReport",
+    "UpstreamEntry",
+    "VersionReport",
+]
+
+OperationId = Annotated[str, Meta(pattern="^[A-Za-z0-9-]{8,64}$")]
+Author = Annotated[str, Meta(min_length=1, max_length=200)]
+Text = Annotated[str, Meta(max_length=2000)]
+
+
+@dataclass(frozen=True, slots=True)
+class SetDefaultBody:
+    """Sets one default."""
+
+    path: Annotated[str, Meta(min_length=1, max_length=500)]
+    value: Any
+    base_revision: int
+    author: Author
+    operation_id: OperationId
+    reason: Text = ""
+
+
+@dataclass(frozen=True, slots=True)
+class LoadDefaultsBody:
+    """Replaces all defaults."""
+
+    document: Defaults
+    base_revision: int
+    author: Author
+    operation_id: OperationId
+    reason: Text = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ExceptionBody:
+    """Adds an exception, or replaces one when a base revision is given."""
+
+    name: Name
+    selector: Selector
+    overrides: Overrides
+    reason: Text
+    author: Author
+    operation_id: OperationId
+    review_on: Annotated[str, Meta(pattern=r"^(\d{4}-\d{2}-\d{2})?$")] = ""
+    # None adds; a number edits, unless the exception changed after it.
+    base_revision: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RemoveBody:
+    """Removes an exception."""
+
+    base_revision: int
+    author: Author
+    operation_id: OperationId
+    reason: Text = ""
+
+
+@dataclass(frozen=True, slots=True)
+class RestoreBody:
+    """Makes a new version with the content of an older one."""
+
+    version: Annotated[int, Meta(ge=0)]
+    base_version: int
+    author: Author
+    operation_id: OperationId
+    reason: Text = ""
+
+
+@dataclass(frozen=True, slots=True)
+class VersionReport:
+    """The version that carries an accepted change."""
+
+    version: int
+    digest_hex: str
+
+
+@dataclass(frozen=True, slots=True)
+class DefaultsReport:
+    """The defaults of the newest version that the node holds."""
+
+    version: int
+    revision: int
+    defaults: Defaults
+
+
+@dataclass(frozen=True, slots=True)
+class ExceptionsReport:
+    """The exceptions of the newest version that the node holds."""
+
+    version: int
+    exceptions: list[ConfigException]
+
+
+@dataclass(frozen=True, slots=True)
+class FaultEntry:
+    """One numbered fault in an answer."""
+
+    code: int
+    name: str
+    detail: str
+    path: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class FaultsReport:
+    """An answer that refuses a request."""
+
+    faults: list[FaultEntry]
+
+
+@dataclass(frozen=True, slots=True)
+class LaggingNode:
+    """A node that does not run a wanted version, and why."""
+
+    address: str
+    in_force_version: int
+    held_version: int
+    reachable: bool
+    code: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConvergenceReport:
+    """Whether a version, or a newer one, is in force on every node."""
+
+    version: int
+    converged: bool
+    nodes: int
+    lagging: list[LaggingNode]
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamEntry:
+    """One upstream that the node knows."""
+
+    service: str
+    node_address: str
+    call_address: str
+    zone: str
+    slots: int
+    suspect: bool
+
+
+@dataclass(frozen=True, slots=True)
+class StatusReport:
+    """State of one node."""
+
+    address: str
+    zone: str
+    region: str
+    instance: str
+    ready: bool
+    stopping: bool
+    in_force_version: int
+    held_version: int
+    head_version: int
+    # Version below which nothing may run here; None while it is not known.
+    floor: int | None
+    witness: bool
+    source_reachable: bool
+    fault: FaultEntry | None
+    # Number of members by status.
+    members: dict[str, int]
+    neighbours: list[str]
+    # Origin of the version in force.
+    origin: Origin
+    metrics: MetricsReport
+    # Exceptions whose review date is past.
+    overdue_exceptions: list[str] = field(default_factory=list)
--- /dev/null
+++ b/gypsumlock/operator/queries.py
@@ -0,0 +1,194 @@
+"""Operator requests that change nothing."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Awaitable, Callable, Mapping
+from datetime import UTC, datetime
+
+from result import Err, Ok, Result
+
+from gypsumlock.blackboard import Board
+from gypsumlock.distribution import History, survey_members
+from gypsumlock.membership import choose_neighbours
+from gypsumlock.metrics import Metrics
+from gypsumlock.model.diff import diff_snapshots
+from gypsumlock.operator.messages import (
+    ConvergenceReport,
+    DefaultsReport,
+    ExceptionsReport,
+    FaultEntry,
+    LaggingNode,
+    StatusReport,
+    UpstreamEntry,
+)
+from gypsumlock.peering import PeerTransport
+from gypsumlock.result_codes import Fault, ResultCode
+
+__all__ = ["QueryHandlers"]
+
+Query = Mapping[str, str]
+Answer = Result[object, list[Fault]]
+
+HISTORY_LIMIT = 20
+HISTORY_MAX = 500
+
+
+class QueryHandlers:
+    """Answers questions about the node and the fleet."""
+
+    __slots__ = ("_board", "_handlers", "_history", "_metrics", "_transport")
+
+    def __init__(
+        self,
+        board: Board,
+        history: History,
+        transport: PeerTransport,
+        metrics: Metrics,
+    ) -> None:
+        self._board = board
+        self._history = history
+        self._transport = transport
+        self._metrics = metrics
+        self._handlers: dict[str, Callable[[Query], Awaitable[Answer]]] = {
+            "/v1/status": self._status,
+            "/v1/defaults": self._defaults,
+            "/v1/exceptions": self._exceptions,
+            "/v1/history": self._newest,
+            "/v1/diff": self._diff,
+            "/v1/converged": self._converged,
+            "/v1/upstreams": self._upstreams,
+        }
+
+    async def answer(self, path: str, query: Query) -> Answer:
+        """Answer one question, named by its path."""
+        handler = self._handlers.get(path)
+        if handler is None:
+            return Err([Fault(ResultCode.OPERATOR_NOT_FOUND, f"no GET {path}")])
+        return await handler(query)
+
+    async def _status(self, query: Query) -> Answer:
+        board = self._board
+        members = board.members
+        fault = board.config_fault.read()
+        recovery = board.recovery.read()
+        statuses = Counter(m.status.name.lower() for m in members.all_members())
+        neighbours = choose_neighbours(board.node.address, members.others())
+        return Ok(
+            StatusReport(
+                address=board.node.address,
+                zone=board.node.zone,
+                region=board.node.region,
+                instance=board.node.instance,
+                ready=board.ready(),
+                stopping=board.stopping.read(),
+                in_force_version=board.version_in_force(),
+                held_version=board.held_ref().version,
+                head_version=board.head.read().ref.version,
+                floor=recovery.floor,
+                witness=recovery.witness,
+                source_reachable=board.source.read().reachable,
+                fault=_fault_entry(fault) if fault else None,
+                members=dict(statuses),
+                neighbours=[member.address for member in neighbours],
+                origin=board.snapshot().origin,
+                metrics=self._metrics.report(),
+                overdue_exceptions=self._overdue(),
+            )
+        )
+
+    async def _defaults(self, query: Query) -> Answer:
+        snapshot = self._board.snapshot()
+        return Ok(
+            DefaultsReport(
+                snapshot.version, snapshot.defaults_revision, snapshot.defaults
+            )
+        )
+
+    async def _exceptions(self, query: Query) -> Answer:
+        snapshot = self._board.snapshot()
+        return Ok(ExceptionsReport(snapshot.version, list(snapshot.exceptions)))
+
+    async def _newest(self, query: Query) -> Answer:
+        limit = _number(query, "limit", HISTORY_LIMIT)
+        if isinstance(limit, Err):
+            return limit
+        found = await self._history.newest(min(HISTORY_MAX, limit.ok_value))
+        return found.map_err(lambda fault: [fault])
+
+    async def _diff(self, query: Query) -> Answer:
+        newest = self._board.held_ref().version
+        after = _number(query, "to", newest)
+        if isinstance(after, Err):
+            return after
+        before = _number(query, "from", max(0, after.ok_value - 1))
+        if isinstance(before, Err):
+            return before
+        left = await self._history.snapshot(before.ok_value)
+        if isinstance(left, Err):
+            return Err([left.err_value])
+        right = await self._history.snapshot(after.ok_value)
+        if isinstance(right, Err):
+            return Err([right.err_value])
+        return Ok(diff_snapshots(left.ok_value, right.ok_value))
+
+    async def _converged(self, query: Query) -> Answer:
+        wanted = _number(query, "version", self._board.head.read().ref.version)
+        if isinstance(wanted, Err):
+            return wanted
+        version = wanted.ok_value
+        others = [member.address for member in self._board.members.others()]
+        entries = await survey_members(self._board, self._transport, others)
+        lagging = [
+            LaggingNode(
+                address=entry.address,
+                in_force_version=entry.in_force_version,
+                held_version=entry.held_version,
+                reachable=entry.reachable,
+                code=entry.code,
+            )
+            for entry in entries
+            if not entry.reachable or entry.in_force_version < version
+        ]
+        converged = not lagging and self._board.table.read() is not None
+        return Ok(ConvergenceReport(version, converged, len(entries), lagging))
+
+    async def _upstreams(self, query: Query) -> Answer:
+        endpoints = self._board.members.endpoints()
+        return Ok(
+            [
+                UpstreamEntry(
+                    service=endpoint.service,
+                    node_address=endpoint.node_address,
+                    call_address=endpoint.call_address,
+                    zone=endpoint.zone,
+                    slots=endpoint.slots,
+                    suspect=endpoint.suspect,
+                )
+                for endpoint in sorted(
+                    endpoints, key=lambda e: (e.service, e.node_address)
+                )
+            ]
+        )
+
+    def _overdue(self) -> list[str]:
+        today = datetime.now(UTC).date().isoformat()
+        return [
+            item.name
+            for item in self._board.snapshot().exceptions
+            if item.review_on and item.review_on < today
+        ]
+
+
+def _fault_entry(fault: Fault) -> FaultEntry:
+    return FaultEntry(fault.code.value, fault.code.name, fault.detail, fault.path)
+
+
+def _number(query: Query, name: str, default: int) -> Result[int, list[Fault]]:
+    text = query.get(name)
+    if text is None:
+        return Ok(default)
+    if not text.isascii() or not text.isdigit():
+        found = f"found {text!r}, allowed: a whole number"
+        return Err([Fault(ResultCode.OPERATOR_BAD_BODY, found, name)])
+    return Ok(int(text))
--- /dev/null
+++ b/gypsumlock/peering/__init__.py
@@ -0,0 +1,6 @@
+"""Messages between nodes, their wire format and transport."""
+
+from gypsumlock.peering.messages import Report, SurveyEntry
+from gypsumlock.peering.transport import GrpcTransport, PeerTransport
+
+__all__ = ["GrpcTransport", "PeerTransport", "Report", "SurveyEntry"]
--- /dev/null
+++ b/gypsumlock/peering/codec.py
@@ -0,0 +1,135 @@
+"""Converts between typed messages and their protobuf form."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from gypsumlock.membership.member import Member, MemberStatus, UpstreamState
+from gypsumlock.model import VersionRef
+from gypsumlock.peering import mesh_pb2 as wire
+from gypsumlock.peering.messages import Report, SurveyEntry
+
+__all__ = [
+    "members_from_wire",
+    "members_to_wire",
+    "ref_from_wire",
+    "ref_to_wire",
+    "report_from_wire",
+    "report_to_wire",
+    "survey_from_wire",
+    "survey_to_wire",
+]
+
+
+def ref_to_wire(ref: VersionRef) -> wire.VersionRef:
+    """Convert a version reference."""
+    return wire.VersionRef(version=ref.version, digest=ref.digest)
+
+
+def ref_from_wire(message: wire.VersionRef) -> VersionRef:
+    """Convert a version reference."""
+    return VersionRef(message.version, message.digest)
+
+
+def members_to_wire(members: Iterable[Member]) -> list[wire.Member]:
+    """Convert member records."""
+    return [_member_to_wire(member) for member in members]
+
+
+def members_from_wire(messages: Iterable[wire.Member]) -> list[Member]:
+    """Convert member records; those of an unknown status are left out."""
+    return [
+        _member_from_wire(message)
+        for message in messages
+        if message.status in _STATUSES and message.upstream in _UPSTREAM_STATES
+    ]
+
+
+def report_to_wire(report: Report) -> wire.Report:
+    """Convert a heartbeat."""
+    return wire.Report(
+        sender=report.sender,
+        held=ref_to_wire(report.held),
+        in_force_version=report.in_force_version,
+        members_digest=report.members_digest,
+        members=members_to_wire(report.members),
+        witness=report.witness,
+    )
+
+
+def report_from_wire(message: wire.Report) -> Report:
+    """Convert a heartbeat."""
+    return Report(
+        sender=message.sender,
+        held=ref_from_wire(message.held),
+        in_force_version=message.in_force_version,
+        members_digest=message.members_digest,
+        members=members_from_wire(message.members),
+        witness=message.witness,
+    )
+
+
+def survey_to_wire(entries: Iterable[SurveyEntry]) -> wire.SurveyReply:
+    """Convert the answers of a survey."""
+    return wire.SurveyReply(
+        entries=[
+            wire.SurveyEntry(
+                address=entry.address,
+                in_force_version=entry.in_force_version,
+                held_version=entry.held_version,
+                reachable=entry.reachable,
+                code=entry.code,
+            )
+            for entry in entries
+        ]
+    )
+
+
+def survey_from_wire(reply: wire.SurveyReply) -> list[SurveyEntry]:
+    """Convert the answers of a survey."""
+    return [
+        SurveyEntry(
+            address=entry.address,
+            in_force_version=entry.in_force_version,
+            held_version=entry.held_version,
+            reachable=entry.reachable,
+            code=entry.code,
+        )
+        for entry in reply.entries
+    ]
+
+
+_STATUSES = frozenset(status.value for status in MemberStatus)
+_UPSTREAM_STATES = frozenset(state.value for state in UpstreamState)
+
+
+def _member_to_wire(member: Member) -> wire.Member:
+    return wire.Member(
+        address=member.address,
+        incarnation=member.incarnation,
+        sequence=member.sequence,
+        status=wire.MemberStatus.Name(member.status.value),
+        zone=member.zone,
+        region=member.region,
+        call_address=member.call_address,
+        service=member.service,
+        slots=member.slots,
+        upstream=wire.UpstreamState.Name(member.upstream.value),
+        serving_since_s=member.serving_since_s,
+    )
+
+
+def _member_from_wire(message: wire.Member) -> Member:
+    return Member(
+        address=message.address,
+        incarnation=message.incarnation,
+        sequence=message.sequence,
+        status=MemberStatus(message.status),
+        zone=message.zone,
+        region=message.region,
+        call_address=message.call_address,
+        service=message.service,
+        slots=message.slots,
+        upstream=UpstreamState(message.upstream),
+        serving_since_s=message.serving_since_s,
+    )
--- /dev/null
+++ b/gypsumlock/peering/server.py
@@ -0,0 +1,167 @@
+"""The gRPC server that answers other nodes.
+
+Reads and writes the blackboard only. A call without the fleet key is refused
+before its handler runs.
+"""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import grpc
+import grpc.aio
+from result import Err, Ok, Result
+
+from gypsumlock import defaults
+from gypsumlock.blackboard import Board
+from gypsumlock.distribution.survey import survey_members
+from gypsumlock.membership.gossip import make_report, take_report
+from gypsumlock.membership.member import Member
+from gypsumlock.options import MembershipOptions
+from gypsumlock.peering import codec, mesh_pb2, mesh_pb2_grpc
+from gypsumlock.peering.transport import FLEET_KEY_METADATA, PeerTransport
+from gypsumlock.result_codes import Fault, ResultCode
+
+__all__ = ["PeerServer"]
+
+
+class PeerServer:
+    """Serves the mesh protocol on one address.
+
+    Parameters
+    ----------
+    board : Board
+        State of the node.
+    transport : PeerTransport
+        Used for probes and surveys on behalf of others.
+    options : MembershipOptions
+        Timeouts of heartbeats.
+    fleet_key : bytes
+        Key that callers must show.
+    """
+
+    def __init__(
+        self,
+        board: Board,
+        transport: PeerTransport,
+        options: MembershipOptions,
+        fleet_key: bytes,
+    ) -> None:
+        self._servicer = _MeshServicer(board, transport, options)
+        self._server = grpc.aio.server(
+            interceptors=[_FleetKeyInterceptor(fleet_key)],
+            options=(
+                ("grpc.so_reuseport", 0),
+                ("grpc.max_receive_message_length", defaults.MAX_SNAPSHOT_BYTES),
+            ),
+        )
+
+    async def start(self, address: str) -> Result[None, Fault]:
+        """Listen on `address`, or return `PORT_IN_USE`."""
+        mesh_pb2_grpc.add_MeshServicer_to_server(self._servicer, self._server)
+        try:
+            self._server.add_insecure_port(address)
+        except RuntimeError:
+            found = f"can't listen on {address}"
+            return Err(Fault(ResultCode.PORT_IN_USE, found, "listen.peers"))
+        await self._server.start()
+        return Ok(None)
+
+    async def stop(self) -> None:
+        """Stop listening; calls under way get a moment to finish."""
+        await self._server.stop(grace=0.5)
+
+
+class _FleetKeyInterceptor(grpc.aio.ServerInterceptor):  # type: ignore[type-arg]
+    """Refuses calls that do not show the fleet key."""
+
+    def __init__(self, fleet_key: bytes) -> None:
+        self._fleet_key = fleet_key
+
+        async def refuse(
+            _: object, context: grpc.aio.ServicerContext[Any, Any]
+        ) -> None:
+            await context.abort(grpc.StatusCode.UNAUTHENTICATED, "wrong fleet key")
+
+        self._refusal = grpc.unary_unary_rpc_method_handler(refuse)
+
+    async def intercept_service(
+        self,
+        continuation: Callable[
+            [grpc.HandlerCallDetails], Awaitable[grpc.RpcMethodHandler[Any, Any]]
+        ],
+        handler_call_details: grpc.HandlerCallDetails,
+    ) -> grpc.RpcMethodHandler[Any, Any]:
+        metadata = dict(handler_call_details.invocation_metadata or ())
+        shown = metadata.get(FLEET_KEY_METADATA, b"")
+        shown = shown.encode() if isinstance(shown, str) else shown
+        if not hmac.compare_digest(shown, self._fleet_key):
+            return self._refusal
+        return await continuation(handler_call_details)
+
+
+class _MeshServicer(mesh_pb2_grpc.MeshServicer):
+    """Answers each call from the blackboard."""
+
+    def __init__(
+        self, board: Board, transport: PeerTransport, options: MembershipOptions
+    ) -> None:
+        self._board = board
+        self._transport = transport
+        self._options = options
+
+    async def Exchange(  # noqa: N802
+        self, request: mesh_pb2.Report, context: object
+    ) -> mesh_pb2.Report:
+        """Take in a heartbeat and answer with one."""
+        report = codec.report_from_wire(request)
+        take_report(self._board, report)
+        members: list[Member] = []
+        if report.members_digest != self._board.members.digest():
+            members = self._records_for(report.sender)
+        return codec.report_to_wire(make_report(self._board, members))
+
+    async def Sync(  # noqa: N802
+        self, request: mesh_pb2.SyncRequest, context: object
+    ) -> mesh_pb2.SyncReply:
+        """Answer with the records in the buckets that differ."""
+        differing = self._board.members.differing(list(request.bucket_digests))
+        return mesh_pb2.SyncReply(members=codec.members_to_wire(differing))
+
+    async def Fetch(  # noqa: N802
+        self, request: mesh_pb2.FetchRequest, context: object
+    ) -> mesh_pb2.FetchReply:
+        """Answer with a snapshot, empty when it is not held."""
+        held = self._board.held.read()
+        if held is None or held.ref != codec.ref_from_wire(request.wanted):
+            return mesh_pb2.FetchReply()
+        return mesh_pb2.FetchReply(payload=held.payload)
+
+    async def Probe(  # noqa: N802
+        self, request: mesh_pb2.ProbeRequest, context: object
+    ) -> mesh_pb2.ProbeReply:
+        """Try to reach a node on behalf of another one."""
+        report = make_report(self._board, [])
+        answer = await self._transport.exchange(
+            request.address, report, self._options.exchange_timeout_s / 2
+        )
+        return mesh_pb2.ProbeReply(reachable=answer.is_ok())
+
+    async def Survey(  # noqa: N802
+        self, request: mesh_pb2.SurveyRequest, context: object
+    ) -> mesh_pb2.SurveyReply:
+        """Answer for this node and for the members it is asked about."""
+        entries = await survey_members(
+            self._board, self._transport, list(request.addresses)
+        )
+        return codec.survey_to_wire(entries)
+
+    def _records_for(self, sender: str) -> list[Member]:
+        """Return this node's record, and the sender's if it looks wrong here."""
+        known = self._board.members.get(sender)
+        own = self._board.members.own
+        if known is not None and known.status > 0:
+            return [own, known]
+        return [own]
--- /dev/null
+++ b/gypsumlock/peering/transport.py
@@ -0,0 +1,182 @@
+"""How a node talks to its peers: an abstract transport, and gRPC.
+
+Every call is bounded in time and returns a fault in place of an exception.
+"""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections import OrderedDict
+from collections.abc import Awaitable
+from typing import Final, TypeVar
+
+import grpc
+import grpc.aio
+from result import Err, Ok, Result
+
+from gypsumlock import defaults
+from gypsumlock.membership.member import Member
+from gypsumlock.model import VersionRef
+from gypsumlock.peering import codec, mesh_pb2, mesh_pb2_grpc
+from gypsumlock.peering.messages import Report, SurveyEntry
+from gypsumlock.result_codes import Fault, ResultCode
+
+__all__ = ["FLEET_KEY_METADATA", "GrpcTransport", "PeerTransport"]
+
+T = TypeVar("T")
+
+FLEET_KEY_METADATA: Final = "gypsumlock-fleet-key-bin"
+# Connections kept open besides the ones in use.
+MAX_CHANNELS: Final = 24
+CHANNEL_OPTIONS: Final = (
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 200),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.max_receive_message_length", defaults.MAX_SNAPSHOT_BYTES),
+)
+
+
+class PeerTransport(ABC):
+    """Calls to other nodes."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    async def exchange(
+        self, address: str, report: Report, timeout_s: float
+    ) -> Result[Report, Fault]:
+        """Send a heartbeat and return the answer."""
+
+    @abstractmethod
+    async def sync(
+        self, address: str, bucket_digests: list[int], timeout_s: float
+    ) -> Result[list[Member], Fault]:
+        """Return the peer's records in the buckets that differ."""
+
+    @abstractmethod
+    async def fetch(
+        self, address: str, wanted: VersionRef, timeout_s: float
+    ) -> Result[bytes, Fault]:
+        """Return a compressed snapshot that the peer holds."""
+
+    @abstractmethod
+    async def probe(
+        self, address: str, target: str, timeout_s: float
+    ) -> Result[bool, Fault]:
+        """Ask a peer whether it can reach `target`."""
+
+    @abstractmethod
+    async def survey(
+        self, address: str, members: list[str], timeout_s: float
+    ) -> Result[list[SurveyEntry], Fault]:
+        """Ask a peer for its own state and that of `members`."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close all connections."""
+
+
+class GrpcTransport(PeerTransport):
+    """Calls to other nodes over gRPC.
+
+    Parameters
+    ----------
+    fleet_key : bytes
+        Key that every node of the fleet shares; sent with each call.
+    """
+
+    __slots__ = ("_channels", "_metadata")
+
+    def __init__(self, fleet_key: bytes) -> None:
+        self._metadata = ((FLEET_KEY_METADATA, fleet_key),)
+        self._channels: OrderedDict[str, grpc.aio.Channel] = OrderedDict()
+
+    async def exchange(
+        self, address: str, report: Report, timeout_s: float
+    ) -> Result[Report, Fault]:
+        """Send a heartbeat and return the answer."""
+        stub = await self._stub(address)
+        request = codec.report_to_wire(report)
+        reply: Result[mesh_pb2.Report, Fault] = await _call(
+            stub.Exchange(request, timeout=timeout_s, metadata=self._metadata), address
+        )
+        return reply.map(codec.report_from_wire)
+
+    async def sync(
+        self, address: str, bucket_digests: list[int], timeout_s: float
+    ) -> Result[list[Member], Fault]:
+        """Return the peer's records in the buckets that differ."""
+        stub = await self._stub(address)
+        request = mesh_pb2.SyncRequest(bucket_digests=bucket_digests)
+        reply: Result[mesh_pb2.SyncReply, Fault] = await _call(
+            stub.Sync(request, timeout=timeout_s, metadata=self._metadata), address
+        )
+        return reply.map(lambda found: codec.members_from_wire(found.members))
+
+    async def fetch(
+        self, address: str, wanted: VersionRef, timeout_s: float
+    ) -> Result[bytes, Fault]:
+        """Return a compressed snapshot that the peer holds."""
+        stub = await self._stub(address)
+        request = mesh_pb2.FetchRequest(wanted=codec.ref_to_wire(wanted))
+        reply: Result[mesh_pb2.FetchReply, Fault] = await _call(
+            stub.Fetch(request, timeout=timeout_s, metadata=self._metadata), address
+        )
+        if isinstance(reply, Ok) and not reply.ok_value.payload:
+            found = f"{address} does not hold version {wanted.version}"
+            return Err(Fault(ResultCode.SNAPSHOT_UNAVAILABLE, found))
+        return reply.map(lambda found: found.payload)
+
+    async def probe(
+        self, address: str, target: str, timeout_s: float
+    ) -> Result[bool, Fault]:
+        """Ask a peer whether it can reach `target`."""
+        stub = await self._stub(address)
+        request = mesh_pb2.ProbeRequest(address=target)
+        reply: Result[mesh_pb2.ProbeReply, Fault] = await _call(
+            stub.Probe(request, timeout=timeout_s, metadata=self._metadata), address
+        )
+        return reply.map(lambda found: found.reachable)
+
+    async def survey(
+        self, address: str, members: list[str], timeout_s: float
+    ) -> Result[list[SurveyEntry], Fault]:
+        """Ask a peer for its own state and that of `members`."""
+        stub = await self._stub(address)
+        request = mesh_pb2.SurveyRequest(addresses=members)
+        reply: Result[mesh_pb2.SurveyReply, Fault] = await _call(
+            stub.Survey(request, timeout=timeout_s, metadata=self._metadata), address
+        )
+        return reply.map(codec.survey_from_wire)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        while self._channels:
+            _, channel = self._channels.popitem()
+            await channel.close(None)
+
+    async def _stub(self, address: str) -> mesh_pb2_grpc.MeshStub:
+        """Return the stub of a peer, opening or reusing its channel."""
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
+            self._channels[address] = channel
+        self._channels.move_to_end(address)
+        while len(self._channels) > MAX_CHANNELS:
+            _, oldest = self._channels.popitem(last=False)
+            # Calls under way on the least recently used channel may finish.
+            await oldest.close(grace=defaults.SURVEY_TIMEOUT_S)
+        return mesh_pb2_grpc.MeshStub(channel)
+
+
+async def _call(call: Awaitable[T], address: str) -> Result[T, Fault]:
+    try:
+        return Ok(await call)
+    except grpc.aio.AioRpcError as error:
+        if error.code() is grpc.StatusCode.UNAUTHENTICATED:
+            found = f"{address} has another fleet key"
+            return Err(Fault(ResultCode.PEER_TOKEN_WRONG, found))
+        found = f"{address} did not answer: {error.code().name}"
+        return Err(Fault(ResultCode.PEER_UNREACHABLE, found))
--- /dev/null
+++ b/gypsumlock/routing/__init__.py
@@ -0,0 +1,8 @@
+"""Choice of upstream, and the retry budget."""
+
+from gypsumlock.routing.budget import RetryBudget
+from gypsumlock.routing.chooser import UpstreamChooser
+from gypsumlock.routing.endpoint_stats import EndpointStats, Outcome
+from gypsumlock.routing.subset import subset_of
+
+__all__ = ["EndpointStats", "Outcome", "RetryBudget", "UpstreamChooser", "subset_of"]
--- /dev/null
+++ b/gypsumlock/routing/subset.py
@@ -0,0 +1,44 @@
+"""Bounds how many upstreams of a service one node connects to.
+
+The subset is chosen by rendezvous hashing, the own zone first: it is stable
+while members come and go, and different nodes get different subsets.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Sequence
+from functools import lru_cache
+
+from gypsumlock.model import Endpoint, NodeIdentity
+
+__all__ = ["subset_of"]
+
+
+def subset_of(
+    node: NodeIdentity, endpoints: Sequence[Endpoint], size: int
+) -> Sequence[Endpoint]:
+    """Return at most `size` of the endpoints for one node."""
+    if len(endpoints) <= size:
+        return endpoints
+
+    def rank(endpoint: Endpoint) -> tuple[bool, bool, bytes]:
+        return (
+            endpoint.zone != node.zone,
+            endpoint.region != node.region,
+            _score(node.address, endpoint.call_address),
+        )
+
+    ranked = sorted(endpoints, key=rank)
+    # Half of the places go to other zones, so that a zone can be lost.
+    near = [e for e in ranked if e.zone == node.zone][: size // 2]
+    far = [e for e in ranked if e.zone != node.zone]
+    chosen = near + far[: size - len(near)]
+    left = [e for e in ranked if e not in chosen]
+    return chosen + left[: size - len(chosen)]
+
+
+@lru_cache(maxsize=8192)
+def _score(node_address: str, call_address: str) -> bytes:
+    pair = f"{node_address}|{call_address}".encode()
+    return hashlib.blake2b(pair, digest_size=8).digest()
--- /dev/null
+++ b/misc/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts for maintainers: demo, measurements, test runner."""
--- /dev/null
+++ b/misc/outcome_plugin.py
@@ -0,0 +1,25 @@
+"""A nose2 plugin that notes whether each test passed."""
+
+from __future__ import annotations
+
+from typing import Any, ClassVar
+
+from nose2.events import Plugin
+
+__all__ = ["OutcomePlugin"]
+
+
+class OutcomePlugin(Plugin):  # type: ignore[misc]
+    """Collects outcomes by test id; a failed set-up counts as a failed test."""
+
+    configSection = "outcomes"  # noqa: N815
+    alwaysOn = True  # noqa: N815
+
+    # True for each test that passed.
+    outcomes: ClassVar[dict[str, bool]] = {}
+
+    def testOutcome(self, event: Any) -> None:  # noqa: N802
+        """Note one outcome; called by nose2."""
+        test_id = str(event.test.id()).partition("\n")[0]
+        passed = event.outcome in ("passed", "skipped") or event.expected
+        self.outcomes[test_id] = self.outcomes.get(test_id, True) and passed
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one class for each subject."""
--- /dev/null
+++ b/tests/standins/fault_proxy.py
@@ -0,0 +1,135 @@
+"""A TCP proxy in front of one node's peer address that injects faults.
+
+It runs in a thread of the test process. Which node a connection comes from is
+found from the process that owns its other end, so links can be cut one by one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+from collections.abc import Callable
+
+import psutil
+
+from tests.standins.processes import free_ports
+
+__all__ = ["FaultProxy"]
+
+CHUNK_BYTES = 65_536
+
+
+class _Loop:
+    """One event loop in a thread, shared by all proxies."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.new_event_loop()
+        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+
+    def call(self, function: Callable[[], None]) -> None:
+        """Run a function in the loop and wait for it."""
+        done = threading.Event()
+
+        def run() -> None:
+            function()
+            done.set()
+
+        self.loop.call_soon_threadsafe(run)
+        done.wait(5)
+
+
+_shared: list[_Loop] = []
+
+
+def _shared_loop() -> _Loop:
+    if not _shared:
+        _shared.append(_Loop())
+    return _shared[0]
+
+
+class FaultProxy:
+    """Forwards connections to one address, and misbehaves on demand.
+
+    Parameters
+    ----------
+    target : str
+        Address to forward to, as `IP:port`.
+    """
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.address = f"127.0.0.1:{free_ports(1)[0]}"
+        # Seconds that each chunk is held back in each direction.
+        self.delay_s = 0.0
+        # Process ids whose connections are cut; None cuts everybody's.
+        self._cut_pids: set[int] | None = set()
+        self._connections: dict[asyncio.StreamWriter, int] = {}
+        self._loop = _shared_loop()
+        starting = asyncio.run_coroutine_threadsafe(self._start(), self._loop.loop)
+        self._server = starting.result(5)
+
+    def cut(self, pids: set[int] | None) -> None:
+        """Cut connections that come from some processes; None for all."""
+
+        def apply() -> None:
+            self._cut_pids = pids
+            for writer, pid in list(self._connections.items()):
+                if pids is None or pid in pids:
+                    writer.transport.abort()
+
+        self._loop.call(apply)
+
+    def heal(self) -> None:
+        """Let everybody through again."""
+        self.delay_s = 0.0
+        self.cut(set())
+
+    def close(self) -> None:
+        """Stop listening and cut everything."""
+        self.cut(None)
+        self._loop.call(self._server.close)
+
+    async def _start(self) -> asyncio.Server:
+        host, _, port = self.address.rpartition(":")
+        return await asyncio.start_server(self._serve, host, int(port))
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        pid = await asyncio.to_thread(_owner_of, writer.get_extra_info("peername"))
+        if self._cut_pids is None or pid in self._cut_pids:
+            writer.transport.abort()
+            return
+        host, _, port = self.target.rpartition(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self._connections[writer] = pid
+        await asyncio.gather(
+            self._pipe(reader, far_writer), self._pipe(far_reader, writer)
+        )
+        self._connections.pop(writer, None)
+
+    async def _pipe(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                writer.write(data)
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.transport.abort()
+
+
+def _owner_of(peer: tuple[str, int]) -> int:
+    """Return the process that owns the local end of a connection, or 0."""
+    for connection in psutil.net_connections("tcp4"):
+        if connection.laddr == peer and connection.pid:
+            return int(connection.pid)
+    return 0
--- /dev/null
+++ b/tests/standins/fleet.py
@@ -0,0 +1,408 @@
+"""A fleet of real processes on loopback: platform, nodes and upstreams."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import TracebackType
+from typing import Any, TypeVar
+
+import httpcore
+import msgspec
+import yaml
+
+from gypsumlock.cli.client import OperatorClient
+from gypsumlock.model import Defaults, Overrides, Selector
+from gypsumlock.operator.messages import (
+    ConvergenceReport,
+    DefaultsReport,
+    ExceptionBody,
+    LoadDefaultsBody,
+    SetDefaultBody,
+    StatusReport,
+    VersionReport,
+)
+from tests.standins.fault_proxy import FaultProxy
+from tests.standins.platform_server import PlatformControl
+from tests.standins.processes import Process, free_ports, wait_until
+from tests.standins.upstream_server import (
+    UpstreamControl,
+    UpstreamRecord,
+    UpstreamSettings,
+)
+
+__all__ = ["BOWLINE", "Fleet", "Instance", "InstancePlan", "load_example"]
+
+T = TypeVar("T")
+
+START_TIMEOUT_S = 30.0
+FLEET_KEY = "a fleet key that only the tests know"
+OPERATOR_TOKEN = "an operator token that only the tests know"
+REQUEST_TIMEOUT_S = 15.0
+
+
+def load_example(name: str) -> Defaults:
+    """Return the defaults of an example deployment."""
+    path = Path(__file__).parents[2] / "examples" / name / "defaults.yaml"
+    return msgspec.convert(yaml.safe_load(path.read_text()), Defaults)
+
+
+@dataclass(frozen=True, slots=True)
+class InstancePlan:
+    """One instance to start: its zone and the service of its upstream."""
+
+    name: str
+    zone: str
+    # Empty for a node without an upstream.
+    service: str
+    region: str = "north"
+    slots: int = 20
+    work_ms: float = 0.0
+
+
+BOWLINE = [
+    InstancePlan("search-1", "glasgow", "search"),
+    InstancePlan("search-2", "edinburgh", "search"),
+    InstancePlan("bookings-1", "stirling", "bookings"),
+    InstancePlan("bookings-2", "glasgow", "bookings"),
+    InstancePlan("reels-1", "edinburgh", "reels"),
+    InstancePlan("reels-2", "perth", "reels"),
+]
+
+
+@dataclass
+class Instance:
+    """One instance: a node, and the upstream beside it."""
+
+    plan: InstancePlan
+    directory: Path
+    # Addresses as `IP:port`.
+    calls: str
+    peers: str
+    local: str
+    operator: str
+    upstream_address: str
+    node: Process
+    upstream: Process | None
+    client: OperatorClient
+    proxy: FaultProxy | None = None
+    settings: dict[str, Any] = field(default_factory=dict)
+
+    @property
+    def address(self) -> str:
+        """Identity of the node."""
+        return self.proxy.address if self.proxy else self.peers
+
+    def start(self) -> None:
+        """Start the node and the upstream."""
+        self.node.start()
+        if self.upstream is not None:
+            self.upstream.start()
+
+    def status(self) -> StatusReport | None:
+        """Return the node's state, or None if it does not answer."""
+        answer = self.client.get("/v1/status", StatusReport)
+        return answer.unwrap_or(None)
+
+    def ready(self) -> bool:
+        """Tell whether the node carries calls."""
+        status = self.status()
+        return status is not None and status.ready
+
+    def version(self) -> int:
+        """Return the version in force, or -1 if the node does not answer."""
+        status = self.status()
+        return status.in_force_version if status else -1
+
+    def get(
+        self,
+        path: str,
+        headers: dict[str, str] | None = None,
+        method: str = "GET",
+        content: bytes | None = None,
+        timeout_s: float = REQUEST_TIMEOUT_S,
+    ) -> httpcore.Response:
+        """Send one call to the node, on a connection of its own."""
+        return send_call(self.calls, method, path, headers, content, timeout_s)
+
+    def control_upstream(self, control: UpstreamControl) -> None:
+        """Change how the upstream behaves."""
+        url = f"http://{self.upstream_address}/_control"
+        httpcore.request("POST", url, content=msgspec.json.encode(control))
+
+    def record(self) -> UpstreamRecord:
+        """Return what the upstream has run."""
+        answer = httpcore.request("GET", f"http://{self.upstream_address}/_record")
+        return msgspec.json.decode(answer.content, type=UpstreamRecord)
+
+    def versions_run(self) -> list[int]:
+        """Return every version that the node put in force, in order."""
+        return [
+            entry["fields"]["version"]
+            for entry in self.log_entries()
+            if entry["message"] == "version in force"
+        ]
+
+    def log_entries(self) -> list[dict[str, Any]]:
+        """Return the node's log lines, over all its starts."""
+        if not self.node.log.exists():
+            return []
+        entries = []
+        for line in self.node.log.read_text().splitlines():
+            if line.startswith("{"):
+                entries.append(json.loads(line))
+        return entries
+
+
+def send_call(
+    address: str,
+    method: str,
+    path: str,
+    headers: dict[str, str] | None = None,
+    content: bytes | None = None,
+    timeout_s: float = REQUEST_TIMEOUT_S,
+) -> httpcore.Response:
+    """Send one HTTP request on a connection of its own."""
+    limits = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
+    return httpcore.request(
+        method,
+        f"http://{address}{path}",
+        headers=[("host", "mesh"), ("connection", "close"), *(headers or {}).items()],
+        content=content,
+        extensions={"timeout": limits},
+    )
+
+
+class Fleet:
+    """Starts instances around one platform and drives them.
+
+    Parameters
+    ----------
+    plans : list[InstancePlan]
+        Instances to start.
+    proxied : bool
+        True to put a fault-injecting proxy in front of every peer address.
+    overrides : dict[str, Any] | None
+        Settings that replace the defaults of every node, by section.
+    """
+
+    def __init__(
+        self,
+        plans: list[InstancePlan],
+        proxied: bool = False,
+        overrides: dict[str, Any] | None = None,
+    ) -> None:
+        self._scratch = tempfile.TemporaryDirectory(prefix="gypsumlock-")
+        self.directory = Path(self._scratch.name)
+        (self.directory / "fleet.key").write_text(FLEET_KEY)
+        (self.directory / "operator.token").write_text(OPERATOR_TOKEN)
+        self._overrides = overrides or {}
+        port = free_ports(1)[0]
+        self.platform_address = f"127.0.0.1:{port}"
+        self.platform = Process(
+            "platform",
+            ["-m", "tests.standins.platform_server", str(port)],
+            self.directory / "platform.log",
+        )
+        self.instances = [self._make(plan, proxied) for plan in plans]
+
+    def __enter__(self) -> Fleet:
+        self.platform.start()
+        for instance in self.instances:
+            instance.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for instance in self.instances:
+            for process in (instance.node, instance.upstream):
+                if process is not None and process.running():
+                    process.kill()
+            if instance.proxy is not None:
+                instance.proxy.close()
+        if self.platform.running():
+            self.platform.kill()
+        self._scratch.cleanup()
+
+    def __getitem__(self, name: str) -> Instance:
+        return next(i for i in self.instances if i.plan.name == name)
+
+    def wait_ready(self, timeout_s: float = START_TIMEOUT_S) -> None:
+        """Wait until every node is ready and knows every other one."""
+        count = len(self.instances)
+        for instance in self.instances:
+            wait_until(
+                lambda i=instance: self._knows(i, count),  # type: ignore[misc]
+                timeout_s,
+                f"{instance.plan.name} ready and knowing {count} members",
+            )
+
+    def wait_upstreams(self, timeout_s: float = START_TIMEOUT_S) -> None:
+        """Wait until every node knows every upstream."""
+        wanted = sum(1 for i in self.instances if i.upstream is not None)
+        for instance in self.instances:
+            wait_until(
+                lambda i=instance: len(self.upstreams(i)) == wanted,  # type: ignore[misc]
+                timeout_s,
+                f"{instance.plan.name} knowing {wanted} upstreams",
+            )
+
+    def upstreams(self, instance: Instance) -> list[dict[str, Any]]:
+        """Return the upstreams that a node knows."""
+        answer = instance.client.get("/v1/upstreams", list[dict[str, Any]])
+        return answer.unwrap_or([])
+
+    def wait_version(
+        self,
+        version: int,
+        timeout_s: float = 6.0,
+        instances: list[Instance] | None = None,
+    ) -> None:
+        """Wait until a version is in force on every given instance."""
+        for instance in instances or self.instances:
+            wait_until(
+                lambda i=instance: i.version() >= version,  # type: ignore[misc]
+                timeout_s,
+                f"{instance.plan.name} at version {version}",
+            )
+
+    def converged(self, version: int, through: Instance) -> ConvergenceReport:
+        """Ask a node whether a version is in force everywhere."""
+        path = f"/v1/converged?version={version}"
+        return through.client.get(path, ConvergenceReport).unwrap()
+
+    def load_defaults(self, document: Defaults, through: Instance) -> int:
+        """Load all defaults through a node; return the version."""
+        base = through.client.get("/v1/defaults", DefaultsReport).unwrap()
+        body = LoadDefaultsBody(
+            document, base.revision, "founder", _operation("load"), "first load"
+        )
+        return (
+            through.client.send("PUT", "/v1/defaults", body, VersionReport)
+            .unwrap()
+            .version
+        )
+
+    def set_default(
+        self, path: str, value: object, through: Instance, operation: str = ""
+    ) -> int:
+        """Set one default through a node; return the version."""
+        base = through.client.get("/v1/defaults", DefaultsReport).unwrap()
+        body = SetDefaultBody(
+            path, value, base.revision, "founder", operation or _operation("set")
+        )
+        return (
+            through.client.send("POST", "/v1/defaults", body, VersionReport)
+            .unwrap()
+            .version
+        )
+
+    def add_exception(
+        self, name: str, through: Instance, selector: Selector, overrides: Overrides
+    ) -> int:
+        """Add an exception through a node; return the version."""
+        body = ExceptionBody(
+            name,
+            selector,
+            overrides,
+            "asked for by a test",
+            "founder",
+            _operation(name),
+        )
+        return (
+            through.client.send("POST", "/v1/exceptions", body, VersionReport)
+            .unwrap()
+            .version
+        )
+
+    def control_platform(self, control: PlatformControl) -> None:
+        """Change how the platform misbehaves."""
+        url = f"http://{self.platform_address}/control"
+        httpcore.request("POST", url, content=msgspec.json.encode(control))
+
+    def platform_counts(self) -> dict[str, int]:
+        """Return how often the platform was read and written."""
+        answer = httpcore.request("GET", f"http://{self.platform_address}/control")
+        return msgspec.json.decode(answer.content, type=dict[str, int])
+
+    def _knows(self, instance: Instance, count: int) -> bool:
+        if not instance.node.running():
+            tail = instance.node.log.read_text()[-1000:]
+            raise RuntimeError(f"{instance.plan.name} ended: {tail}")
+        status = instance.status()
+        if status is None or not status.ready:
+            return False
+        return status.members.get("alive", 0) == count
+
+    def _make(self, plan: InstancePlan, proxied: bool) -> Instance:
+        ports = free_ports(5)
+        calls, peers, local, operator, upstream = (
+            f"127.0.0.1:{port}" for port in ports
+        )
+        proxy = FaultProxy(peers) if proxied else None
+        settings: dict[str, Any] = {
+            "zone": plan.zone,
+            "region": plan.region,
+            "instance": plan.name,
+            "listen": {
+                "calls": calls,
+                "peers": peers,
+                "local": local,
+                "operator": operator,
+            },
+            "platform": {"url": f"http://{self.platform_address}"},
+            "fleet_key_file": str(self.directory / "fleet.key"),
+            "operator_token_file": str(self.directory / "operator.token"),
+            "log": {"format": "json"},
+        }
+        if proxy is not None:
+            settings["advertise"] = {"peers": proxy.address}
+        for section, values in self._overrides.items():
+            settings[section] = {**settings.get(section, {}), **values}
+        path = self.directory / f"{plan.name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        client = OperatorClient(f"http://{operator}", OPERATOR_TOKEN, REQUEST_TIMEOUT_S)
+        return Instance(
+            plan=plan,
+            directory=self.directory,
+            calls=calls,
+            peers=peers,
+            local=local,
+            operator=operator,
+            upstream_address=upstream,
+            node=Process(
+                plan.name,
+                ["-m", "gypsumlock.daemon", str(path)],
+                self.directory / f"{plan.name}.log",
+            ),
+            upstream=self._make_upstream(plan, upstream, local, calls),
+            client=client,
+            proxy=proxy,
+            settings=settings,
+        )
+
+    def _make_upstream(
+        self, plan: InstancePlan, address: str, local: str, calls: str
+    ) -> Process | None:
+        if not plan.service:
+            return None
+        settings = UpstreamSettings(
+            plan.service, address, local, calls, plan.slots, plan.work_ms
+        )
+        encoded = msgspec.json.encode(settings).decode()
+        return Process(
+            f"{plan.name}-upstream",
+            ["-m", "tests.standins.upstream_server", encoded],
+            self.directory / f"{plan.name}-upstream.log",
+        )
+
+
+def _operation(name: str) -> str:
+    return f"{name}-{time.monotonic_ns()}"
--- /dev/null
+++ b/tests/standins/platform_server.py
@@ -0,0 +1,147 @@
+"""A stand-in for the platform: table service and object store over HTTP.
+
+Run as `python -m tests.standins.platform_server PORT`. `POST /control` changes
+how it misbehaves, `GET /control` returns the counts of what it was asked.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections import Counter
+from dataclasses import dataclass
+from typing import Literal
+from urllib.parse import parse_qs, unquote
+
+import anyio
+import msgspec
+from result import Err
+
+from gypsumlock.http_app import listen, make_server, read_body, send_json
+from gypsumlock.platform import MemoryPlatform, Row
+from gypsumlock.platform.http_client import TransactionBody
+from gypsumlock.proxy.headers import find_header
+from gypsumlock.proxy.request import Receive, Scope, Send
+
+HANG_S = 3600.0
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformControl:
+    """How the platform misbehaves from now on."""
+
+    # `lose-answer` does the write, then closes without an answer.
+    mode: Literal["ok", "down", "hang", "lose-answer", "corrupt", "missing"] = "ok"
+    delay_s: float = 0.0
+    # Requests to misbehave for; 0 for all.
+    count: int = 0
+
+
+class PlatformApp:
+    """Serves rows and objects from memory."""
+
+    def __init__(self) -> None:
+        self._platform = MemoryPlatform()
+        self._control = PlatformControl()
+        self._left = 0
+        self._counts: Counter[str] = Counter()
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        body = (await read_body(receive)).unwrap()
+        if scope["path"] == "/control":
+            await self._serve_control(scope, body, send)
+            return
+        kind = "reads" if scope["method"] == "GET" else "writes"
+        self._counts[kind] += 1
+        mode = self._next_mode(scope)
+        if self._control.delay_s:
+            await asyncio.sleep(self._control.delay_s)
+        if mode == "down":
+            await send_json(send, 503, None)
+        elif mode == "hang":
+            await asyncio.sleep(HANG_S)
+        else:
+            await self._serve(scope, body, send, mode)
+
+    async def _serve_control(self, scope: Scope, body: bytes, send: Send) -> None:
+        if scope["method"] == "POST":
+            self._control = msgspec.json.decode(body, type=PlatformControl)
+            self._left = self._control.count
+        await send_json(send, 200, dict(self._counts))
+
+    def _next_mode(self, scope: Scope) -> str:
+        mode = self._control.mode
+        concerns_objects = mode in ("corrupt", "missing")
+        if concerns_objects and not scope["path"].startswith("/objects/"):
+            return "ok"
+        if mode == "lose-answer" and scope["method"] != "POST":
+            return "ok"
+        if self._control.count:
+            if self._left == 0:
+                return "ok"
+            self._left -= 1
+        return mode
+
+    async def _serve(self, scope: Scope, body: bytes, send: Send, mode: str) -> None:
+        path = scope["path"]
+        if path == "/table/transactions":
+            await self._transact(body, send, mode)
+        elif path == "/table/rows":
+            await self._scan(scope, send)
+        elif path.startswith("/table/rows/"):
+            key = unquote(scope["raw_path"].decode().removeprefix("/table/rows/"))
+            await self._get(key, send)
+        elif path.startswith("/objects/"):
+            await self._object(scope, body, send, mode)
+        else:
+            await send_json(send, 404, None)
+
+    async def _transact(self, body: bytes, send: Send, mode: str) -> None:
+        wanted = msgspec.json.decode(body, type=TransactionBody)
+        done = await self._platform.transact(wanted.conditions, wanted.writes)
+        if mode == "lose-answer":
+            raise ConnectionAbortedError
+        await send_json(send, 412 if isinstance(done, Err) else 200, None)
+
+    async def _scan(self, scope: Scope, send: Send) -> None:
+        query = parse_qs(scope["query_string"].decode(), keep_blank_values=True)
+        rows = await self._platform.scan(
+            query["prefix"][0], query["after"][0], int(query["limit"][0])
+        )
+        await send_json(send, 200, rows.unwrap())
+
+    async def _get(self, key: str, send: Send) -> None:
+        row: Row | None = (await self._platform.get(key)).unwrap()
+        await send_json(send, 404 if row is None else 200, row)
+
+    async def _object(self, scope: Scope, body: bytes, send: Send, mode: str) -> None:
+        name = scope["path"].removeprefix("/objects/")
+        found = await self._platform.fetch(name)
+        if scope["method"] == "PUT":
+            guarded = find_header(scope["headers"], b"if-none-match") == b"*"
+            if guarded and found.is_ok():
+                await send_json(send, 412, None)
+                return
+            await self._platform.put(name, body)
+            await send_json(send, 201, None)
+        elif isinstance(found, Err) or mode == "missing":
+            await send_json(send, 404, None)
+        else:
+            payload = found.ok_value
+            await _send_bytes(send, payload[::-1] if mode == "corrupt" else payload)
+
+
+async def _send_bytes(send: Send, payload: bytes) -> None:
+    headers = [(b"content-length", str(len(payload)).encode())]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    await send({"type": "http.response.body", "body": payload})
+
+
+def main() -> None:
+    """Serve until killed."""
+    sock = listen(f"127.0.0.1:{sys.argv[1]}", "").unwrap()
+    anyio.run(make_server(PlatformApp()).serve, [sock])
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,68 @@
+"""The whole path, as separate processes: a call, a change, a wait."""
+
+from __future__ import annotations
+
+import hashlib
+import unittest
+
+from gypsumlock.model import Overrides, Selector
+from tests.standins.fleet import BOWLINE, Fleet, load_example
+
+
+class TestWholePath(unittest.TestCase):
+    """A small fleet carries calls and takes changes."""
+
+    fleet: Fleet
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.fleet = Fleet(BOWLINE[:4]).__enter__()
+        cls.addClassCleanup(cls.fleet.__exit__, None, None, None)
+        cls.fleet.wait_ready()
+        cls.fleet.wait_upstreams()
+        version = cls.fleet.load_defaults(
+            load_example("bowline"), cls.fleet.instances[0]
+        )
+        cls.fleet.wait_version(version)
+
+    def test_call_through_every_node_is_answered_whole(self) -> None:
+        for instance in self.fleet.instances:
+            answer = instance.get("/book/a", method="POST", content=b"x" * 1000)
+            headers = dict(answer.headers)
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(
+                headers[b"x-test-digest"].decode(),
+                hashlib.sha256(answer.content).hexdigest(),
+            )
+            self.assertEqual(
+                headers[b"x-test-request-digest"].decode(),
+                hashlib.sha256(b"x" * 1000).hexdigest(),
+            )
+
+    def test_default_is_in_force_on_all_nodes(self) -> None:
+        first, *_, last = self.fleet.instances
+        version = self.fleet.set_default("routes.book.timeout_s", 2.5, first)
+        self.fleet.wait_version(version)
+        report = self.fleet.converged(version, last)
+        self.assertTrue(report.converged)
+        self.assertEqual(report.nodes, 4)
+
+    def test_exception_is_in_force_on_all_nodes(self) -> None:
+        first = self.fleet.instances[0]
+        version = self.fleet.add_exception(
+            "no-bookings-in-stirling",
+            first,
+            Selector(route="book", zone="stirling"),
+            Overrides(accept_calls=False),
+        )
+        self.fleet.wait_version(version)
+        inside = self.fleet["bookings-1"].get("/book/a", method="POST")
+        outside = self.fleet["bookings-2"].get("/book/a", method="POST")
+        self.assertEqual(inside.status, 503)
+        self.assertEqual(dict(inside.headers)[b"gypsumlock-outcome"], b"not-run")
+        self.assertEqual(outside.status, 200)
+
+    def test_unknown_route_is_refused_as_not_run(self) -> None:
+        answer = self.fleet.instances[0].get("/nothing")
+        self.assertEqual(answer.status, 404)
+        self.assertEqual(dict(answer.headers)[b"gypsumlock-code"], b"80")
