--- a/gypsumlock/cli/render.py
+++ b/gypsumlock/cli/render.py
@@ -121,6 +121,8 @@
             node.held_version,
             node.code,
         )
+    if value.dead:
+        yield messages.dead_nodes(value.dead)
 
 
 @_lines.register
--- a/gypsumlock/membership/links.py
+++ b/gypsumlock/membership/links.py
@@ -111,6 +111,8 @@
         self._scope = anyio.CancelScope()
         # True when the digests already differed at the last heartbeat.
         self._digest_differed = False
+        # The neighbour may never have heard of this node.
+        self._pending[board.node.address] = board.members.own
 
     def push(self, record: Member) -> None:
         """Queue a record; a newer one replaces an older one of its address."""
@@ -171,6 +173,7 @@
             return
         if not self._digest_differed:
             self._digest_differed = True
+            self._pending[self._board.node.address] = self._board.members.own
             return
         self._digest_differed = False
         found = await self._transport.sync(
--- a/gypsumlock/messages.py
+++ b/gypsumlock/messages.py
@@ -5,6 +5,7 @@
 __all__ = [
     "accepted",
     "converged",
+    "dead_nodes",
     "lagging_node",
     "no_such_exception",
     "not_converged",
@@ -37,6 +38,11 @@
     return f"{address}: runs version {in_force}, holds {held}{reason}"
 
 
+def dead_nodes(addresses: list[str]) -> str:
+    """Name the nodes that were not asked because they are dead."""
+    return f"dead, and not asked: {', '.join(addresses)}"
+
+
 def no_such_exception(name: str) -> str:
     """Say that an exception does not exist."""
     return f"no exception is named {name!r}"
--- a/gypsumlock/operator/messages.py
+++ b/gypsumlock/operator/messages.py
@@ -157,8 +157,11 @@
 
     version: int
     converged: bool
+    # Nodes that were asked.
     nodes: int
     lagging: list[LaggingNode]
+    # Addresses of nodes that are known to be dead, and were not asked.
+    dead: list[str]
 
 
 @dataclass(frozen=True, slots=True)
--- a/gypsumlock/operator/queries.py
+++ b/gypsumlock/operator/queries.py
@@ -10,7 +10,7 @@
 
 from gypsumlock.blackboard import Board
 from gypsumlock.distribution import History, survey_members
-from gypsumlock.membership import choose_neighbours
+from gypsumlock.membership import MemberStatus, choose_neighbours
 from gypsumlock.metrics import Metrics
 from gypsumlock.model.diff import diff_snapshots
 from gypsumlock.operator.messages import (
@@ -151,7 +151,12 @@
             if not entry.reachable or entry.in_force_version < version
         ]
         converged = not lagging and self._board.table.read() is not None
-        return Ok(ConvergenceReport(version, converged, len(entries), lagging))
+        dead = sorted(
+            member.address
+            for member in self._board.members.all_members()
+            if member.status is MemberStatus.DEAD
+        )
+        return Ok(ConvergenceReport(version, converged, len(entries), lagging, dead))
 
     async def _upstreams(self, query: Query) -> Answer:
         endpoints = self._board.members.endpoints()
--- a/tests/standins/fault_proxy.py
+++ b/tests/standins/fault_proxy.py
@@ -63,7 +63,7 @@
         self.delay_s = 0.0
         # Process ids whose connections are cut; None cuts everybody's.
         self._cut_pids: set[int] | None = set()
-        self._connections: dict[asyncio.StreamWriter, int] = {}
+        self._connections: set[asyncio.StreamWriter] = set()
         self._loop = _shared_loop()
         starting = asyncio.run_coroutine_threadsafe(self._start(), self._loop.loop)
         self._server = starting.result(5)
@@ -73,8 +73,10 @@
 
         def apply() -> None:
             self._cut_pids = pids
-            for writer, pid in list(self._connections.items()):
-                if pids is None or pid in pids:
+            if pids == set():
+                return
+            for writer in list(self._connections):
+                if self._is_cut(writer):
                     writer.transport.abort()
 
         self._loop.call(apply)
@@ -96,8 +98,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        pid = await asyncio.to_thread(_owner_of, writer.get_extra_info("peername"))
-        if self._cut_pids is None or pid in self._cut_pids:
+        if self._is_cut(writer):
             writer.transport.abort()
             return
         host, _, port = self.target.rpartition(":")
@@ -106,11 +107,17 @@
         except OSError:
             writer.transport.abort()
             return
-        self._connections[writer] = pid
+        self._connections.add(writer)
         await asyncio.gather(
             self._pipe(reader, far_writer), self._pipe(far_reader, writer)
         )
-        self._connections.pop(writer, None)
+        self._connections.discard(writer)
+
+    def _is_cut(self, writer: asyncio.StreamWriter) -> bool:
+        if not self._cut_pids:
+            return self._cut_pids is None
+        peer = writer.get_extra_info("peername")
+        return any(_owns(pid, peer) for pid in self._cut_pids)
 
     async def _pipe(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -127,9 +134,10 @@
             writer.transport.abort()
 
 
-def _owner_of(peer: tuple[str, int]) -> int:
-    """Return the process that owns the local end of a connection, or 0."""
-    for connection in psutil.net_connections("tcp4"):
-        if connection.laddr == peer and connection.pid:
-            return int(connection.pid)
-    return 0
+def _owns(pid: int, peer: tuple[str, int]) -> bool:
+    """Tell whether a process owns the near end of a connection."""
+    try:
+        connections = psutil.Process(pid).net_connections("tcp4")
+    except psutil.Error:
+        return False
+    return any(connection.laddr == peer for connection in connections)
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -38,7 +38,7 @@
 
 T = TypeVar("T")
 
-START_TIMEOUT_S = 30.0
+START_TIMEOUT_S = 15.0
 FLEET_KEY = "a fleet key that only the tests know"
 OPERATOR_TOKEN = "an operator token that only the tests know"
 REQUEST_TIMEOUT_S = 15.0
@@ -61,6 +61,8 @@
     region: str = "north"
     slots: int = 20
     work_ms: float = 0.0
+    # Settings of this node alone, by section.
+    overrides: dict[str, dict[str, Any]] = field(default_factory=dict)
 
 
 BOWLINE = [
@@ -322,6 +324,18 @@
             .version
         )
 
+    def rewrite_settings(
+        self, instance: Instance, changes: dict[str, dict[str, Any]]
+    ) -> None:
+        """Change a node's settings for its next start."""
+        for section, values in changes.items():
+            instance.settings[section] = {
+                **instance.settings.get(section, {}),
+                **values,
+            }
+        path = self.directory / f"{instance.plan.name}.yaml"
+        path.write_text(yaml.safe_dump(instance.settings))
+
     def control_platform(self, control: PlatformControl) -> None:
         """Change how the platform misbehaves."""
         url = f"http://{self.platform_address}/control"
@@ -364,7 +378,7 @@
         }
         if proxy is not None:
             settings["advertise"] = {"peers": proxy.address}
-        for section, values in self._overrides.items():
+        for section, values in {**self._overrides, **plan.overrides}.items():
             settings[section] = {**settings.get(section, {}), **values}
         path = self.directory / f"{plan.name}.yaml"
         path.write_text(yaml.safe_dump(settings))
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -33,8 +33,8 @@
     # `lose-answer` does the write, then closes without an answer.
     mode: Literal["ok", "down", "hang", "lose-answer", "corrupt", "missing"] = "ok"
     delay_s: float = 0.0
-    # Requests to misbehave for; 0 for all.
-    count: int = 0
+    # Kind of request that is concerned; empty for all.
+    operation: Literal["", "read", "scan", "put", "fetch", "commit"] = ""
 
 
 class PlatformApp:
@@ -43,7 +43,6 @@
     def __init__(self) -> None:
         self._platform = MemoryPlatform()
         self._control = PlatformControl()
-        self._left = 0
         self._counts: Counter[str] = Counter()
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -53,8 +52,11 @@
             return
         kind = "reads" if scope["method"] == "GET" else "writes"
         self._counts[kind] += 1
-        mode = self._next_mode(scope)
-        if self._control.delay_s:
+        operation = _operation_of(scope)
+        self._counts[operation] += 1
+        concerned = self._control.operation in ("", operation)
+        mode = self._control.mode if concerned else "ok"
+        if concerned and self._control.delay_s:
             await asyncio.sleep(self._control.delay_s)
         if mode == "down":
             await send_json(send, 503, None)
@@ -66,22 +68,8 @@
     async def _serve_control(self, scope: Scope, body: bytes, send: Send) -> None:
         if scope["method"] == "POST":
             self._control = msgspec.json.decode(body, type=PlatformControl)
-            self._left = self._control.count
         await send_json(send, 200, dict(self._counts))
 
-    def _next_mode(self, scope: Scope) -> str:
-        mode = self._control.mode
-        concerns_objects = mode in ("corrupt", "missing")
-        if concerns_objects and not scope["path"].startswith("/objects/"):
-            return "ok"
-        if mode == "lose-answer" and scope["method"] != "POST":
-            return "ok"
-        if self._control.count:
-            if self._left == 0:
-                return "ok"
-            self._left -= 1
-        return mode
-
     async def _serve(self, scope: Scope, body: bytes, send: Send, mode: str) -> None:
         path = scope["path"]
         if path == "/table/transactions":
@@ -123,6 +111,8 @@
                 await send_json(send, 412, None)
                 return
             await self._platform.put(name, body)
+            if mode == "lose-answer":
+                raise ConnectionAbortedError
             await send_json(send, 201, None)
         elif isinstance(found, Err) or mode == "missing":
             await send_json(send, 404, None)
@@ -131,6 +121,15 @@
             await _send_bytes(send, payload[::-1] if mode == "corrupt" else payload)
 
 
+def _operation_of(scope: Scope) -> str:
+    path = scope["path"]
+    if path.startswith("/objects/"):
+        return "put" if scope["method"] == "PUT" else "fetch"
+    if path == "/table/transactions":
+        return "commit"
+    return "scan" if path == "/table/rows" else "read"
+
+
 async def _send_bytes(send: Send, payload: bytes) -> None:
     headers = [(b"content-length", str(len(payload)).encode())]
     await send({"type": "http.response.start", "status": 200, "headers": headers})
