Make the fault proxy cut links of single nodes

The node was not cut off: gRPC opens dual-stack sockets, and the proxy looked for the owner of a connection among IPv4 sockets only.

Change: the proxy looks among all TCP sockets and compares ports.

Ruled out: a fault of the survey; it reported what it reached.

--- a/tests/standins/fault_proxy.py
+++ b/tests/standins/fault_proxy.py
@@ -137,7 +137,8 @@
 def _owns(pid: int, peer: tuple[str, int]) -> bool:
     """Tell whether a process owns the near end of a connection."""
     try:
-        connections = psutil.Process(pid).net_connections("tcp4")
+        connections = psutil.Process(pid).net_connections("tcp")
     except psutil.Error:
         return False
-    return any(connection.laddr == peer for connection in connections)
+    # The address may be an IPv4 one inside IPv6; on loopback the port suffices.
+    return any(connection.laddr[1] == peer[1] for connection in connections)
