--- a/gypsumlock/blackboard/__init__.py
+++ b/gypsumlock/blackboard/__init__.py
@@ -1,6 +1,7 @@
 """What the node knows now, as typed entries that controllers read and write."""
 
 from gypsumlock.blackboard.board import (
+    AcceptedVersion,
     Board,
     HeadSeen,
     HeldVersion,
@@ -12,6 +13,7 @@
 from gypsumlock.blackboard.entry import Entry
 
 __all__ = [
+    "AcceptedVersion",
     "Board",
     "Entry",
     "HeadSeen",
--- a/gypsumlock/blackboard/board.py
+++ b/gypsumlock/blackboard/board.py
@@ -25,6 +25,7 @@
 from gypsumlock.result_codes import Fault
 
 __all__ = [
+    "AcceptedVersion",
     "Board",
     "HeadSeen",
     "HeldVersion",
@@ -55,6 +56,14 @@
     payload: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class AcceptedVersion:
+    """A version that this node committed itself, with its canonical JSON."""
+
+    ref: VersionRef
+    payload: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class PeerState:
     """What a peer reported last."""
@@ -110,6 +119,7 @@
     """
 
     __slots__ = (
+        "accepted",
         "config_fault",
         "fresh",
         "head",
@@ -136,6 +146,8 @@
         # Counts changes of the member view.
         self.members_changed: Entry[int] = Entry(0)
         self.head: Entry[HeadSeen] = Entry(HeadSeen(EMPTY_REF))
+        # Spares the way through the object store, which may fail meanwhile.
+        self.accepted: Entry[AcceptedVersion | None] = Entry(None)
         self.held: Entry[HeldVersion | None] = Entry(None)
         # Policy in force; the table is compiled from it and the endpoints.
         self.policy: Entry[Policy | None] = Entry(None)
--- a/gypsumlock/composition.py
+++ b/gypsumlock/composition.py
@@ -85,7 +85,9 @@
         self.operator_app = OperatorApp(
             secrets.operator_token,
             QueryHandlers(self.board, history, self.transport, metrics),
-            ChangeHandlers(self.board, Acceptor(self.platform, reader), history),
+            ChangeHandlers(
+                self.board, Acceptor(self.platform, reader, self.board), history
+            ),
         )
         self.peer_server = PeerServer(
             self.board, self.transport, options.membership, secrets.fleet_key
--- a/gypsumlock/distribution/accept.py
+++ b/gypsumlock/distribution/accept.py
@@ -21,6 +21,7 @@
 from result import Err, Ok, Result
 
 from gypsumlock import defaults
+from gypsumlock.blackboard import AcceptedVersion, Board
 from gypsumlock.controller import Backoff
 from gypsumlock.distribution.payload import SnapshotReader
 from gypsumlock.distribution.rows import (
@@ -76,13 +77,18 @@
         Table service and object store.
     reader : SnapshotReader
         Where the head's snapshot comes from.
+    board : Board
+        Learns of each version that is committed here.
     """
 
-    __slots__ = ("_platform", "_reader")
+    __slots__ = ("_board", "_platform", "_reader")
 
-    def __init__(self, platform: Platform, reader: SnapshotReader) -> None:
+    def __init__(
+        self, platform: Platform, reader: SnapshotReader, board: Board
+    ) -> None:
         self._platform = platform
         self._reader = reader
+        self._board = board
 
     async def accept(self, request: ChangeRequest) -> Result[VersionRef, list[Fault]]:
         """Commit one change, or say why not.
@@ -142,6 +148,8 @@
     ) -> Result[VersionRef, list[Fault]]:
         payload = encode_snapshot(snapshot)
         ref = VersionRef(snapshot.version, digest_of(payload))
+        # Read only for a version that is the head, so not before it is committed.
+        self._board.accepted.write(AcceptedVersion(ref, payload))
         stored = await self._platform.put(ref.digest.hex(), payload)
         if isinstance(stored, Err):
             return Err([stored.err_value])
--- a/gypsumlock/distribution/fetch.py
+++ b/gypsumlock/distribution/fetch.py
@@ -1,7 +1,8 @@
 """Turns a head that was heard of into a held version: fetch, verify, compile.
 
 Phases for each new head:
-1. Ask the peers that hold it, then the object store, for its snapshot.
+1. Take the snapshot that this node committed itself, or ask the peers that hold
+   it, then the object store.
 2. Verify the digest and decode.
 3. Compile for this node.
 4. Write `held`, from which peers may fetch in turn.
@@ -115,6 +116,9 @@
         if seen.ref == EMPTY_REF:
             empty = encode_snapshot(EMPTY_SNAPSHOT)
             return hold_version(empty, EMPTY_REF, self._board.node)
+        accepted = self._board.accepted.read()
+        if accepted is not None and accepted.ref == seen.ref:
+            return hold_version(accepted.payload, seen.ref, self._board.node)
         holders = list(seen.holders)
         random.shuffle(holders)
         for address in holders:
--- a/misc/outcome_plugin.py
+++ b/misc/outcome_plugin.py
@@ -20,6 +20,7 @@
 
     def testOutcome(self, event: Any) -> None:  # noqa: N802
         """Note one outcome; called by nose2."""
-        test_id = str(event.test.id()).partition("\n")[0]
-        passed = event.outcome in ("passed", "skipped") or event.expected
+        # A subtest's id is that of its test, with parameters behind a space.
+        test_id = str(event.test.id()).split()[0]
+        passed = event.outcome == "passed" or event.exc_info is None
         self.outcomes[test_id] = self.outcomes.get(test_id, True) and passed
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -5,6 +5,7 @@
 import json
 import tempfile
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 from types import TracebackType
@@ -140,6 +141,11 @@
         answer = httpcore.request("GET", f"http://{self.upstream_address}/_record")
         return msgspec.json.decode(answer.content, type=UpstreamRecord)
 
+    def runs(self) -> Counter[str]:
+        """Return how often the upstream ran each call, over all its starts."""
+        path = self.directory / f"{self.plan.name}.runs"
+        return Counter(path.read_text().split()) if path.exists() else Counter()
+
     def versions_run(self) -> list[int]:
         """Return every version that the node put in force, in order."""
         return [
@@ -408,7 +414,13 @@
         if not plan.service:
             return None
         settings = UpstreamSettings(
-            plan.service, address, local, calls, plan.slots, plan.work_ms
+            plan.service,
+            address,
+            local,
+            calls,
+            plan.slots,
+            plan.work_ms,
+            str(self.directory / f"{plan.name}.runs"),
         )
         encoded = msgspec.json.encode(settings).decode()
         return Process(
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -22,6 +22,7 @@
 from gypsumlock.platform.http_client import TransactionBody
 from gypsumlock.proxy.headers import find_header
 from gypsumlock.proxy.request import Receive, Scope, Send
+from tests.standins.abort import abort_connection
 
 HANG_S = 3600.0
 
@@ -88,7 +89,8 @@
         wanted = msgspec.json.decode(body, type=TransactionBody)
         done = await self._platform.transact(wanted.conditions, wanted.writes)
         if mode == "lose-answer":
-            raise ConnectionAbortedError
+            abort_connection(send)
+            return
         await send_json(send, 412 if isinstance(done, Err) else 200, None)
 
     async def _scan(self, scope: Scope, send: Send) -> None:
@@ -112,7 +114,8 @@
                 return
             await self._platform.put(name, body)
             if mode == "lose-answer":
-                raise ConnectionAbortedError
+                abort_connection(send)
+                return
             await send_json(send, 201, None)
         elif isinstance(found, Err) or mode == "missing":
             await send_json(send, 404, None)
--- a/tests/standins/upstream_server.py
+++ b/tests/standins/upstream_server.py
@@ -12,7 +12,6 @@
 import hashlib
 import os
 import sys
-from collections import Counter
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import Literal
@@ -26,8 +25,10 @@
 from gypsumlock.membership.announcements import Announcement
 from gypsumlock.proxy.headers import CONTEXT, find_header
 from gypsumlock.proxy.request import Receive, Scope, Send
+from tests.standins.abort import abort_connection
 
 ANNOUNCE_INTERVAL_S = 0.5
+CHUNK_BYTES = 16_384
 CALL_ID = b"x-test-call"
 DIGEST = b"x-test-digest"
 NESTED = b"x-test-nested"
@@ -43,6 +44,8 @@
     node_calls: str
     slots: int = 20
     work_ms: float = 0.0
+    # File that outlives the process, with the call id of each run on a line.
+    runs_file: str = "/dev/null"
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,8 +63,6 @@
 class UpstreamRecord:
     """What the upstream has seen so far."""
 
-    # Number of runs by call id.
-    runs: dict[str, int]
     cancelled: int
     in_flight: int
     most_in_flight: int
@@ -75,7 +76,7 @@
     def __init__(self, settings: UpstreamSettings) -> None:
         self._settings = settings
         self._slots = asyncio.Semaphore(settings.slots)
-        self._runs: Counter[str] = Counter()
+        self._runs = open(settings.runs_file, "a", buffering=1)  # noqa: SIM115
         self._cancelled = 0
         self._in_flight = 0
         self._most_in_flight = 0
@@ -95,7 +96,6 @@
 
     def _record(self) -> UpstreamRecord:
         return UpstreamRecord(
-            dict(self._runs),
             self._cancelled,
             self._in_flight,
             self._most_in_flight,
@@ -113,7 +113,7 @@
             digest.update(message.get("body", b""))
             if not message.get("more_body", False):
                 break
-        self._runs[call_id] += 1
+        self._runs.write(call_id + "\n")
         self._in_flight += 1
         self._most_in_flight = max(self._most_in_flight, self._in_flight)
         self._last_begun_s = asyncio.get_running_loop().time()
@@ -141,7 +141,8 @@
             if nested:
                 await self._call_nested(scope, nested)
         if self.control.mode == "drop":
-            raise ConnectionAbortedError
+            abort_connection(send)
+            return
         if self.control.mode == "silent":
             await asyncio.sleep(3600)
         body = os.urandom(size)
@@ -164,12 +165,15 @@
                     "more_body": True,
                 }
             )
-            raise ConnectionAbortedError
-        for start in range(0, size, 65536):
+            abort_connection(send)
+            return
+        drip_ms = float(query.get("drip_ms", ["0"])[0])
+        for start in range(0, size, CHUNK_BYTES):
+            await asyncio.sleep(drip_ms / 1000)
             await send(
                 {
                     "type": "http.response.body",
-                    "body": body[start : start + 65536],
+                    "body": body[start : start + CHUNK_BYTES],
                     "more_body": True,
                 }
             )
