Check settings, bad input, the command line and the pure parts by tests

They found a real fault: a node that started before the platform answered, in a fleet of one, never got ready. It waited for news of the head, but the first answer of the source told nothing new (the empty version), so nothing was written.

Change: the head is written again while nothing is held.

Ruled out: the platform's address; the same node with the platform in memory got ready.

--- a/gypsumlock/blackboard/board.py
+++ b/gypsumlock/blackboard/board.py
@@ -174,6 +174,9 @@
             self.head.write(HeadSeen(ref, (holder,) if holder else ()))
         elif ref == seen.ref and holder and holder not in seen.holders:
             self.head.write(HeadSeen(ref, (*seen.holders, holder)))
+        elif ref == seen.ref and self.held.read() is None:
+            # Wakes who waits: the source may be able to give it now.
+            self.head.write(seen)
 
     def note_peer(self, address: str, state: PeerState) -> None:
         """Keep the last report of a peer."""
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,179 @@
+"""Admission: policies, floors, the learnt limit, the gate."""
+
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+from dataclasses import replace
+
+import anyio
+from result import Err, Ok
+
+from gypsumlock.admission import (
+    ConcurrencyLimit,
+    FifoPolicy,
+    Gate,
+    Permit,
+    QueuePolicy,
+    RankedPolicy,
+    StrictPolicy,
+    Waiter,
+)
+from gypsumlock.model import Rank
+from gypsumlock.result_codes import ResultCode
+
+URGENT = Rank("urgent", 1.0, 0.3, 64)
+SEARCH = Rank("search", 2.0, 0.2, 64)
+BROWSE = Rank("browse", 5.0, 0.1, 32)
+RANKS = (URGENT, SEARCH, BROWSE)
+
+
+def offer(policy: QueuePolicy, rank: Rank, count: int) -> None:
+    """Queue calls of one rank."""
+    for _ in range(count):
+        policy.offer(Waiter(rank, RANKS.index(rank)))
+
+
+def take(policy: QueuePolicy, count: int) -> Counter[str]:
+    """Take calls and count their ranks."""
+    taken = [policy.take() for _ in range(count)]
+    return Counter(waiter.rank.name for waiter in taken if waiter)
+
+
+class TestPolicies(unittest.TestCase):
+    """Who gets the next slot while every rank waits."""
+
+    def full(self, policy: QueuePolicy) -> Counter[str]:
+        """Keep all queues full over many admissions; count who was admitted."""
+        taken: Counter[str] = Counter()
+        for _ in range(1000):
+            for rank in RANKS:
+                offer(policy, rank, 2)
+            taken += take(policy, 1)
+        return taken
+
+    def test_strict_starves_lower_ranks(self) -> None:
+        self.assertEqual(self.full(StrictPolicy()), Counter(urgent=1000))
+
+    def test_ranked_keeps_every_floor_and_prefers_the_urgent(self) -> None:
+        taken = self.full(RankedPolicy())
+        for rank in RANKS:
+            self.assertGreaterEqual(taken[rank.name], 990 * rank.floor_share)
+        self.assertGreaterEqual(taken["urgent"], 650)
+
+    def test_ranked_gives_all_to_who_is_alone(self) -> None:
+        policy = RankedPolicy()
+        offer(policy, BROWSE, 20)
+        self.assertEqual(take(policy, 20), Counter(browse=20))
+
+    def test_fifo_keeps_the_order_of_arrival(self) -> None:
+        policy = FifoPolicy()
+        offer(policy, BROWSE, 1)
+        offer(policy, URGENT, 1)
+        first = policy.take()
+        assert first is not None
+        self.assertIs(first.rank, BROWSE)
+
+    def test_full_queue_refuses_and_forgets_who_gave_up(self) -> None:
+        policy = RankedPolicy()
+        small = replace(BROWSE, queue_limit=1)
+        waiter = Waiter(small, 2)
+        self.assertTrue(policy.offer(waiter))
+        self.assertFalse(policy.offer(Waiter(small, 2)))
+        waiter.gone = True
+        self.assertTrue(policy.offer(Waiter(small, 2)))
+
+
+class TestConcurrencyLimit(unittest.TestCase):
+    """The limit follows latency between its bounds."""
+
+    def feed(self, limit: ConcurrencyLimit, latency_s: float, calls: int) -> None:
+        for _ in range(calls):
+            limit.note_call(latency_s, limit.value)
+
+    def test_cold_start_grows_to_the_slots(self) -> None:
+        limit = ConcurrencyLimit(20)
+        self.assertEqual(limit.value, 10)
+        self.feed(limit, 0.02, 1000)
+        self.assertEqual(limit.value, 20)
+
+    def test_latency_shrinks_it_no_further_than_the_floor(self) -> None:
+        limit = ConcurrencyLimit(20)
+        self.feed(limit, 0.02, 400)
+        self.feed(limit, 0.2, 1000)
+        self.assertEqual(limit.value, 5)
+        self.feed(limit, 0.02, 1000)
+        self.assertEqual(limit.value, 20)
+
+    def test_it_never_exceeds_announced_slots(self) -> None:
+        limit = ConcurrencyLimit(20)
+        self.feed(limit, 0.02, 1000)
+        limit.set_slots(4)
+        self.feed(limit, 0.02, 1000)
+        self.assertEqual(limit.value, 4)
+
+
+class TestGate(unittest.IsolatedAsyncioTestCase):
+    """Permits, queues, deadlines and cancellation."""
+
+    def setUp(self) -> None:
+        self.gate = Gate(ConcurrencyLimit(2), RankedPolicy())
+
+    async def acquire(self, rank: Rank = URGENT, left_s: float = 5.0) -> Permit:
+        deadline_s = anyio.current_time() + left_s
+        acquired = await self.gate.acquire(rank, RANKS.index(rank), deadline_s)
+        return acquired.unwrap()
+
+    async def test_slot_goes_to_who_waits(self) -> None:
+        first = await self.acquire()
+        order: list[str] = []
+
+        async def wait_for(rank: Rank) -> None:
+            permit = await self.acquire(rank)
+            order.append(rank.name)
+            permit.release(learn=False)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(wait_for, BROWSE)
+            await anyio.sleep(0.01)
+            tasks.start_soon(wait_for, URGENT)
+            await anyio.sleep(0.01)
+            self.assertEqual(order, [])
+            first.release(learn=False)
+        self.assertEqual(order, ["urgent", "browse"])
+        self.assertEqual(self.gate.in_flight, 0)
+
+    async def test_call_that_can_not_be_served_in_time_is_refused(self) -> None:
+        held = await self.acquire()
+        deadline_s = anyio.current_time() + 0.05
+        refused = await self.gate.acquire(URGENT, 0, deadline_s)
+        assert isinstance(refused, Err)
+        self.assertIs(refused.err_value.code, ResultCode.CALL_OVERLOADED)
+        held.release(learn=False)
+        self.assertEqual(self.gate.in_flight, 0)
+
+    async def test_cancelled_waiter_loses_no_slot(self) -> None:
+        held = await self.acquire()
+
+        async def carry() -> None:
+            # As the data path does: a permit that was got is given back.
+            permit = await self.acquire()
+            try:
+                await anyio.sleep(1)
+            finally:
+                permit.release(learn=False)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(carry)
+            await anyio.sleep(0.01)
+            # The slot is given and the waiter cancelled in one turn of the loop.
+            held.release(learn=False)
+            tasks.cancel_scope.cancel()
+        self.assertEqual(self.gate.in_flight, 0)
+
+    async def test_gate_without_limit_admits_all(self) -> None:
+        gate = Gate(None, FifoPolicy())
+        for _ in range(100):
+            acquired = await gate.acquire(BROWSE, 2, anyio.current_time() + 1)
+            self.assertIsInstance(acquired, Ok)
+        self.assertEqual(gate.in_flight, 100)
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,238 @@
+"""Bad input from outside: numbered errors, no traceback, the process stays up."""
+
+from __future__ import annotations
+
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+import grpc
+import httpcore
+import msgspec
+import yaml
+
+from gypsumlock.result_codes import ResultCode
+from tests.standins.fleet import OPERATOR_TOKEN, Fleet, InstancePlan, load_example
+from tests.standins.processes import free_ports, wait_until
+
+TIMEOUT_S = 20
+
+
+class TestOperatorApi(unittest.TestCase):
+    """One node answers whatever it is sent."""
+
+    fleet: Fleet
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.fleet = Fleet([InstancePlan("one", "a", "search")]).__enter__()
+        cls.addClassCleanup(cls.fleet.__exit__, None, None, None)
+        cls.fleet.wait_ready()
+        cls.fleet.load_defaults(load_example("bowline"), cls.fleet["one"])
+        cls.fleet.wait_version(1)
+        cls.fleet.wait_upstreams()
+
+    def tearDown(self) -> None:
+        node = self.fleet["one"]
+        self.assertTrue(node.node.running())
+        self.assertEqual(node.version(), 1)
+        self.assertNotIn("Traceback", node.node.log.read_text())
+
+    def send(
+        self, method: str, path: str, content: bytes | None = None,
+        token: str | None = OPERATOR_TOKEN,
+    ) -> tuple[int, int]:  # fmt: skip
+        """Return the status and the first numbered code."""
+        headers = [("authorization", f"Bearer {token}")] if token else []
+        url = f"http://{self.fleet['one'].operator}{path}"
+        answer = httpcore.request(method, url, headers=headers, content=content)
+        decoded = msgspec.json.decode(answer.content)
+        return answer.status, decoded["faults"][0]["code"]
+
+    def test_each_bad_request_has_its_code(self) -> None:
+        good = {"author": "a", "operation_id": "12345678", "base_revision": 1}
+        cases: tuple[tuple[str, str, object, ResultCode], ...] = (
+            ("POST", "/v1/defaults", b"{", ResultCode.OPERATOR_BAD_BODY),
+            ("POST", "/v1/defaults", b"\xff\xfe", ResultCode.OPERATOR_BAD_BODY),
+            ("POST", "/v1/defaults", b"[]", ResultCode.CONFIG_BAD_DOCUMENT),
+            (
+                "POST",
+                "/v1/defaults",
+                {**good, "path": "a.b", "value": 1},
+                ResultCode.CONFIG_UNKNOWN_PATH,
+            ),
+            (
+                "POST",
+                "/v1/defaults",
+                {**good, "path": "limits.ejection_s", "value": -1},
+                ResultCode.CONFIG_BAD_DOCUMENT,
+            ),
+            (
+                "POST",
+                "/v1/exceptions",
+                {**good, "name": "x", "selector": {}, "overrides": {}, "reason": ""},
+                ResultCode.CONFIG_UNKNOWN_EXCEPTION,
+            ),
+            (
+                "POST",
+                "/v1/exceptions",
+                {
+                    "author": "a",
+                    "operation_id": "12345679",
+                    "name": "x",
+                    "selector": {},
+                    "overrides": {},
+                    "reason": " ",
+                },
+                ResultCode.CONFIG_REASON_MISSING,
+            ),
+            ("DELETE", "/v1/exceptions/x", good, ResultCode.CONFIG_UNKNOWN_EXCEPTION),
+            ("GET", "/v1/nothing", None, ResultCode.OPERATOR_NOT_FOUND),
+            ("PATCH", "/v1/defaults", None, ResultCode.OPERATOR_NOT_FOUND),
+            ("GET", "/v1/history?limit=x", None, ResultCode.OPERATOR_BAD_BODY),
+            ("GET", "/v1/diff?from=77&to=78", None, ResultCode.CONFIG_UNKNOWN_VERSION),
+            (
+                "POST",
+                "/v1/defaults",
+                b" " * 2_000_000,
+                ResultCode.OPERATOR_BODY_TOO_LARGE,
+            ),
+        )
+        for method, path, body, code in cases:
+            with self.subTest(path=path, code=code):
+                raw = body if isinstance(body, bytes) else msgspec.json.encode(body)
+                content = None if body is None else raw
+                self.assertEqual(self.send(method, path, content)[1], code)
+
+    def test_token_is_needed(self) -> None:
+        self.assertEqual(
+            self.send("GET", "/v1/status", token=None),
+            (401, ResultCode.OPERATOR_TOKEN_MISSING),
+        )
+        self.assertEqual(
+            self.send("GET", "/v1/status", token="wrong"),
+            (403, ResultCode.OPERATOR_TOKEN_WRONG),
+        )
+
+    def test_bad_announcements_are_refused(self) -> None:
+        url = f"http://{self.fleet['one'].local}/announce"
+        for body in (b"{", b"[]", b'{"service": "X", "address": "a", "slots": 0}'):
+            answer = httpcore.request("POST", url, content=body)
+            self.assertEqual(answer.status, 400)
+
+    def test_bytes_that_are_not_http_or_grpc(self) -> None:
+        node = self.fleet["one"]
+        for address in (node.calls, node.peers, node.local, node.operator):
+            host, _, port = address.rpartition(":")
+            for sent in (b"\x00" * 100, b"GET / HTTP/9.9\r\n\r\n", b"A" * 200_000):
+                with socket.create_connection((host, int(port)), TIMEOUT_S) as sock:
+                    try:
+                        sock.sendall(sent)
+                        sock.shutdown(socket.SHUT_WR)
+                        while sock.recv(4096):
+                            pass
+                    except OSError:
+                        pass
+        self.assertEqual(node.get("/search/x").status, 200)
+
+    def test_wrong_fleet_key_and_malformed_message(self) -> None:
+        node = self.fleet["one"]
+        key = (self.fleet.directory / "fleet.key").read_bytes()
+        with grpc.insecure_channel(node.peers) as channel:
+            call = channel.unary_unary("/gypsumlock.mesh.Mesh/Exchange", None, None)
+            with self.assertRaises(grpc.RpcError) as refused:
+                call(b"", timeout=TIMEOUT_S)
+            self.assertIs(refused.exception.code(), grpc.StatusCode.UNAUTHENTICATED)
+            metadata = (("gypsumlock-fleet-key-bin", key),)
+            with self.assertRaises(grpc.RpcError):
+                call(b"\xff" * 50, metadata=metadata, timeout=TIMEOUT_S)
+
+
+class TestDaemonStart(unittest.TestCase):
+    """Faults at start end the process with their code."""
+
+    def setUp(self) -> None:
+        scratch = tempfile.TemporaryDirectory()
+        self.addCleanup(scratch.cleanup)
+        self.directory = Path(scratch.name)
+        (self.directory / "key").write_text("a key that is long enough")
+        ports = free_ports(4)
+        names = ("calls", "peers", "local", "operator")
+        self.listen = {
+            name: f"127.0.0.1:{port}" for name, port in zip(names, ports, strict=True)
+        }
+        self.settings: dict[str, object] = {
+            "zone": "a", "region": "b", "instance": "c", "listen": self.listen,
+            "platform": {"url": f"http://127.0.0.1:{free_ports(1)[0]}"},
+            "fleet_key_file": str(self.directory / "key"),
+            "operator_token_file": str(self.directory / "key"),
+        }  # fmt: skip
+
+    def start(self) -> subprocess.Popen[str]:
+        path = self.directory / "node.yaml"
+        path.write_text(yaml.safe_dump(self.settings))
+        return subprocess.Popen(
+            [sys.executable, "-m", "gypsumlock.daemon", str(path)],
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+
+    def assert_ends_with(self, code: ResultCode, path: str) -> None:
+        child = self.start()
+        _, errors = child.communicate(timeout=TIMEOUT_S)
+        self.assertEqual(child.returncode, code)
+        self.assertIn(f"[{code.value}] {path}", errors)
+        self.assertNotIn("Traceback", errors)
+
+    def test_each_address_in_use(self) -> None:
+        for name, address in self.listen.items():
+            with self.subTest(name=name), socket.socket() as taken:
+                host, _, port = address.rpartition(":")
+                taken.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                taken.bind((host, int(port)))
+                taken.listen()
+                self.assert_ends_with(ResultCode.PORT_IN_USE, f"listen.{name}")
+
+    def test_bad_settings(self) -> None:
+        self.settings["zone"] = 7
+        self.assert_ends_with(ResultCode.SETTINGS_BAD_VALUE, "zone")
+
+    def test_missing_secret(self) -> None:
+        self.settings["fleet_key_file"] = str(self.directory / "missing")
+        code = ResultCode.SETTINGS_SECRET_UNREADABLE
+        self.assert_ends_with(code, "fleet_key_file")
+
+    def test_platform_that_is_not_there(self) -> None:
+        child = self.start()
+        url = f"http://{self.listen['local']}/ready"
+
+        def answers() -> int:
+            try:
+                return httpcore.request("GET", url).status
+            except httpcore.ConnectError:
+                return 0
+
+        wait_until(lambda: answers() == 503, TIMEOUT_S, "up, but not ready")
+        call = httpcore.request("GET", f"http://{self.listen['calls']}/x")
+        self.assertEqual(
+            dict(call.headers)[b"gypsumlock-code"],
+            str(ResultCode.CALL_NOT_READY.value).encode(),
+        )
+        child.terminate()
+        _, errors = child.communicate(timeout=TIMEOUT_S)
+        self.assertEqual(child.returncode, 0)
+        self.assertNotIn("Traceback", errors)
+
+
+class TestSingleNode(unittest.TestCase):
+    """A node with the platform in memory runs alone."""
+
+    def test_it_gets_ready_and_takes_a_change(self) -> None:
+        plan = InstancePlan("one", "a", "", overrides={"platform": {"url": "memory"}})
+        with Fleet([plan]) as fleet:
+            fleet.wait_ready()
+            version = fleet.load_defaults(load_example("bowline"), fleet["one"])
+            fleet.wait_version(version)
