--- /dev/null
+++ b/misc/mutations.py
@@ -0,0 +1,205 @@
+"""Mechanisms that can be taken away, each with a test that must then fail.
+
+An entry replaces one piece of source text in a scratch copy of the tree. The
+text must occur exactly once.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["MUTATIONS", "Mutation"]
+
+
+@dataclass(frozen=True, slots=True)
+class Mutation:
+    """One mechanism taken away."""
+
+    mechanism: str
+    file: str
+    old: str
+    new: str
+    # Test that must fail without the mechanism.
+    test: str
+
+
+_MATRIX = "tests.test_config_fault_matrix.TestConfigFaultMatrix"
+_CALLS = "tests.test_call_fault_matrix.TestCallFaultMatrix"
+
+MUTATIONS = (
+    Mutation(
+        "operation rows make a repeated request idempotent",
+        "gypsumlock/distribution/accept.py",
+        "if earlier.ok_value is not None:",
+        "if False:",
+        f"{_MATRIX}.test_platform_answer_lost_at_commit",
+    ),
+    Mutation(
+        "the head moves only on condition",
+        "gypsumlock/distribution/accept.py",
+        "[Condition(HEAD_KEY, head.revision), Condition(operation, None)],",
+        "[Condition(operation, None)],",
+        f"{_MATRIX}.test_operators_race_at_accept",
+    ),
+    Mutation(
+        "the accepting node holds what it committed",
+        "gypsumlock/distribution/fetch.py",
+        "if accepted is not None and accepted.ref == seen.ref:",
+        "if False:",
+        f"{_CALLS}.test_platform_down_and_configuration_changed_at_send_head",
+    ),
+    Mutation(
+        "snapshots are verified by digest",
+        "gypsumlock/model/snapshot.py",
+        "if digest_of(payload) != wanted.digest:",
+        "if False:",
+        "tests.test_model.TestDigest.test_every_change_of_a_byte_is_found",
+    ),
+    Mutation(
+        "a version is confirmed by neighbours before it runs",
+        "gypsumlock/distribution/activate.py",
+        "if confirmed < needed:",
+        "if False:",
+        "tests.test_recovery.TestRestart.test_version_that_no_peer_holds_is_not_run",
+    ),
+    Mutation(
+        "a restarted node needs the source or enough witnesses",
+        "gypsumlock/distribution/recover.py",
+        "return max(answers) if len(answers) >= needed else None",
+        "return max(answers, default=0)",
+        "tests.test_recovery.TestRestart.test_too_few_witnesses_hold_a_node_back",
+    ),
+    Mutation(
+        "only witnesses answer for a restarted node",
+        "gypsumlock/distribution/recover.py",
+        "for state in states if state and state.witness]",
+        "for state in states if state]",
+        "tests.test_recovery.TestRestart.test_too_few_witnesses_hold_a_node_back",
+    ),
+    Mutation(
+        "a process that was paused checks its version",
+        "gypsumlock/distribution/pause.py",
+        "if paused_s > defaults.PAUSE_LIMIT_S:",
+        "if False:",
+        "tests.test_recovery.TestPause.test_resumed_node_serves_only_the_newest_version",
+    ),
+    Mutation(
+        "an unreachable node is never counted as converged",
+        "gypsumlock/operator/queries.py",
+        "if not entry.reachable or entry.in_force_version < version",
+        "if entry.reachable and entry.in_force_version < version",
+        "tests.test_recovery.TestCuts.test_paused_node_is_named_by_wait",
+    ),
+    Mutation(
+        "a new link sends the node's own record",
+        "gypsumlock/membership/links.py",
+        "        self._pending[board.node.address] = board.members.own\n",
+        "",
+        "tests.test_recovery.TestRestart.test_herd_restart_with_the_source",
+    ),
+    Mutation(
+        "nodes that do not answer are suspected",
+        "gypsumlock/membership/view.py",
+        "if member is None or member.status is not MemberStatus.ALIVE:",
+        "if True:",
+        "tests.test_calls.TestLeavingAndCrashed.test_killed_instance_is_forgotten",
+    ),
+    Mutation(
+        "silence of an upstream ends it",
+        "gypsumlock/membership/announcements.py",
+        "if silent_s > self._silence_s:",
+        "if False:",
+        "tests.test_calls.TestLeavingAndCrashed.test_silent_upstream_is_forgotten",
+    ),
+    Mutation(
+        "a leaving upstream is refused new work by its node",
+        "gypsumlock/proxy/owner.py",
+        "if upstream.leaving or self._board.stopping.read():",
+        "if False:",
+        "tests.test_calls.TestLeavingAndCrashed.test_leaving_upstream_gets_no_new_work",
+    ),
+    Mutation(
+        "a call that may have run is not sent again",
+        "gypsumlock/proxy/caller.py",
+        "return call.route.is_idempotent(call.head.method)",
+        "return True",
+        f"{_CALLS}.test_upstream_drops_connection_at_wait",
+    ),
+    Mutation(
+        "an upstream's word about what ran is not believed",
+        "gypsumlock/proxy/owner.py",
+        "connection, head, body, self._headers(call), responder, False",
+        "connection, head, body, self._headers(call), responder, True",
+        "tests.test_whole_path.TestWholePath",
+    ),
+    Mutation(
+        "a connection whose call was cut is not used again",
+        "gypsumlock/proxy/connection.py",
+        "return self._complete and self._keep_alive and not self._body",
+        "return True",
+        "tests.test_calls.TestAnswers.test_late_answer_goes_to_nobody_else",
+    ),
+    Mutation(
+        "a planned stop waits for calls in flight",
+        "gypsumlock/daemon.py",
+        "        await calls_closed.wait()\n",
+        "        pass\n",
+        f"{_CALLS}.test_owner_node_stopped_at_wait",
+    ),
+    Mutation(
+        "the deadline ends a call",
+        "gypsumlock/proxy/caller.py",
+        "with anyio.move_on_after(max(0.0, call.left_s())) as scope:",
+        "with anyio.move_on_after(None) as scope:",
+        "tests.test_calls.TestNesting.test_deadline_reaches_the_upstream",
+    ),
+    Mutation(
+        "rank is kept through nested calls",
+        "gypsumlock/proxy/caller.py",
+        "route = _with_rank(table, route, context.rank)",
+        "pass",
+        "tests.test_calls.TestNesting.test_rank_of_the_first_call_is_kept",
+    ),
+    Mutation(
+        "contexts are signed",
+        "gypsumlock/proxy/context.py",
+        "if not hmac.compare_digest(signature, self._signature(body)):",
+        "if False:",
+        "tests.test_call_context.TestContextSigner.test_every_changed_byte_is_refused",
+    ),
+    Mutation(
+        "calls nest ten deep at most",
+        "gypsumlock/proxy/caller.py",
+        "if depth > defaults.MAX_CALL_DEPTH:",
+        "if False:",
+        "tests.test_calls.TestNesting.test_ten_calls_deep_and_no_deeper",
+    ),
+    Mutation(
+        "reading pauses while the client is slow",
+        "gypsumlock/proxy/connection.py",
+        "            self._transport.pause_reading()\n",
+        "            pass\n",
+        "tests.test_calls.TestAnswers.test_large_bodies_stream_in_bounded_memory",
+    ),
+    Mutation(
+        "every rank keeps its floor",
+        "gypsumlock/admission/policy.py",
+        "indebted = [order for order in waiting if self._credit[order] >= 1]",
+        "indebted: list[int] = []",
+        "tests.test_admission.TestPolicies.test_ranked_keeps_every_floor_and_prefers_the_urgent",
+    ),
+    Mutation(
+        "ejections never empty a service",
+        "gypsumlock/routing/chooser.py",
+        "if not kept or ejected_share > table.policy.limits.max_ejected_share:",
+        "if False:",
+        "tests.test_routing.TestChooser.test_ejections_never_empty_a_service",
+    ),
+    Mutation(
+        "retries stay within a budget",
+        "gypsumlock/routing/budget.py",
+        "        self._tokens -= 1\n",
+        "",
+        "tests.test_routing.TestRetryBudget.test_retries_are_bounded_over_many_calls",
+    ),
+)
--- a/tests/test_call_fault_matrix.py
+++ b/tests/test_call_fault_matrix.py
@@ -26,17 +26,18 @@
 LATE_S = 0.3
 CALLS = (("POST", "/book/x"), ("GET", "/search/x"))
 
-# The caller's node has no upstream, so each call takes a hop. With one upstream
-# the fault strikes the one that carries the call.
+# The caller's node has no upstream, so each call takes a hop. Each service has a
+# second upstream, which a call that is sent again would reach.
 PLANS = [
     InstancePlan("edge", "glasgow", ""),
     InstancePlan("spare", "glasgow", ""),
     InstancePlan("bookings-1", "glasgow", "bookings"),
+    InstancePlan("bookings-2", "glasgow", "bookings"),
     InstancePlan("search-1", "glasgow", "search"),
     InstancePlan("search-2", "glasgow", "search"),
 ]
 
-OWNERS = ("bookings-1", "search-1", "search-2")
+OWNERS = ("bookings-1", "bookings-2", "search-1", "search-2")
 
 
 @dataclass(frozen=True)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -110,6 +110,30 @@
         self.fleet.control_platform(PlatformControl())
         self.fleet.wait_ready()
 
+    def test_version_that_no_peer_holds_is_not_run(self) -> None:
+        node = self.fleet["n1"]
+        self.seed("n1")
+        others = [i for i in self.fleet.instances if i is not node]
+        for other in others:
+            other.node.pause()
+        newer = self.fleet.set_default("limits.ejection_s", 9.0, node)
+        wait_until(lambda: self.holds(node, newer), 5, "n1 holds the version")
+        time.sleep(HELD_BACK_S)
+        self.assertEqual(node.version(), self.version)
+        # The only ones that know the version are gone: n1 and the platform.
+        self.fleet.control_platform(DOWN)
+        node.node.kill()
+        for other in others:
+            other.node.resume()
+        node.node.start()
+        wait_until(node.ready, RESTART_TIMEOUT_S, "n1 ready")
+        self.fleet.control_platform(PlatformControl())
+        self.fleet.wait_version(newer, 2 * CONVERGENCE_TARGET_S)
+
+    def holds(self, instance: Instance, version: int) -> bool:
+        status = instance.status()
+        return status is not None and status.held_version >= version
+
     def seed(self, name: str) -> list[str]:
         """Name all other nodes in a node's settings, for its next start."""
         instance = self.fleet[name]
