Keep a cancelled gRPC call from ending the link controller

Cause: at 16 nodes about one start in five left a node that never changed its neighbours again, and so was never confirmed (code 134). A neighbour is dropped by cancelling its link. When that strikes inside a gRPC call, gRPC raises a CancelledError of its own; the link's cancel scope does not take it for its own and lets it through, and the task group above ends silently, with all links.

Change: the transport raises the scope's own error where the scope is cancelled, and reports an unreachable peer otherwise. A controller that returns now ends the process. Probes are told from regular heartbeats, so that two nodes that probed each other once do not go on probing for good.

Ruled out: a lost wake-up of the blackboard's entry (traced: the entry was written, the waiting task was gone); full channels (16 nodes, 24 kept).

--- a/gypsumlock/blackboard/board.py
+++ b/gypsumlock/blackboard/board.py
@@ -137,6 +137,7 @@
         "stopping",
         "table",
         "upstream",
+        "watched",
     )
 
     def __init__(self, node: NodeIdentity, members: MemberView) -> None:
@@ -156,6 +157,9 @@
         self.source: Entry[SourceHealth] = Entry(SourceHealth())
         # Last report of each peer that exchanges heartbeats with this node.
         self.peers: Entry[dict[str, PeerState]] = Entry({})
+        # Monotonic time of the last heartbeat of each peer that chose this node
+        # as its neighbour.
+        self.watched: dict[str, float] = {}
         # Why the newest known version is not held or not in force.
         self.config_fault: Entry[Fault | None] = Entry(None)
         self.upstream: Entry[LocalUpstream | None] = Entry(None)
@@ -182,6 +186,13 @@
         """Keep the last report of a peer."""
         self.peers.write({**self.peers.read(), address: state})
 
+    def forget_peers(self) -> None:
+        """Drop the reports of peers that are gone."""
+        present = {member.address for member in self.members.others()}
+        kept = {a: state for a, state in self.peers.read().items() if a in present}
+        if len(kept) < len(self.peers.read()):
+            self.peers.write(kept)
+
     def held_ref(self) -> VersionRef:
         """Return the reference of the held version, or the empty version's."""
         held = self.held.read()
--- a/gypsumlock/controller.py
+++ b/gypsumlock/controller.py
@@ -20,7 +20,7 @@
 
     @abstractmethod
     async def run(self) -> None:
-        """Run until cancelled."""
+        """Run until cancelled; a controller that returns has failed."""
 
 
 class Backoff:
--- a/gypsumlock/daemon.py
+++ b/gypsumlock/daemon.py
@@ -20,6 +20,7 @@
 from result import Err, Ok, Result
 
 from gypsumlock.composition import Node, build_node
+from gypsumlock.controller import Controller
 from gypsumlock.http_app import HttpServer, listen, make_server
 from gypsumlock.logs import Part, configure_logs, part_log
 from gypsumlock.options import Options
@@ -88,7 +89,7 @@
         for server, sock in zip(side_servers, (local, operator), strict=True):
             tasks.start_soon(server.serve, [sock])
         for controller in node.controllers:
-            tasks.start_soon(controller.run)
+            tasks.start_soon(_run_controller, controller)
         log.info("node started", address=node.options.listen.peers)
         await _wait_for_signal()
         await _leave(node)
@@ -122,6 +123,12 @@
             return
 
 
+async def _run_controller(controller: Controller) -> None:
+    """Run a controller; end the process rather than go on without it."""
+    await controller.run()
+    raise RuntimeError(f"{type(controller).__name__} ended")
+
+
 async def _serve_calls(
     server: HttpServer, sock: socket.socket, closed: anyio.Event
 ) -> None:
--- a/gypsumlock/distribution/recover.py
+++ b/gypsumlock/distribution/recover.py
@@ -31,7 +31,7 @@
         self._board = board
 
     async def run(self) -> None:
-        """Recover, then wait for the source to confirm; runs once."""
+        """Recover, wait for the source to confirm, then rest."""
         while self._board.recovery.read().floor is None:
             floor = self._floor()
             if floor is None:
@@ -45,6 +45,7 @@
                 source=self._board.source.read().reachable,
             )
         await self._become_witness()
+        await anyio.sleep_forever()
 
     def _floor(self) -> int | None:
         """Return the lowest version that may run here, or None if unknown."""
--- a/gypsumlock/membership/bootstrap.py
+++ b/gypsumlock/membership/bootstrap.py
@@ -68,6 +68,7 @@
             await self._board.stopping.wait_until(bool)
             tasks.cancel_scope.cancel()
         await self._delete_row()
+        await anyio.sleep_forever()
 
     async def _join(self) -> None:
         """Try seeds and sampled rows until a peer has answered."""
--- a/gypsumlock/membership/detector.py
+++ b/gypsumlock/membership/detector.py
@@ -61,37 +61,35 @@
         dead = self._board.members.expire(
             self._options.suspect_timeout_s, self._options.forget_after_s
         )
+        if dead:
+            self._board.forget_peers()
         for member in dead:
+            self._board.watched.pop(member.address, None)
             log.warning("node declared dead", peer=member.address, zone=member.zone)
 
     def _silent_peers(self) -> list[str]:
-        """Return alive peers that reported before and then fell silent."""
+        """Return alive peers that sent heartbeats and then fell silent."""
         limit_s = SILENT_INTERVALS * self._options.exchange_interval_s
         oldest_s = time.monotonic() - limit_s
         silent = []
-        for address, state in self._board.peers.read().items():
+        for address, heard_at_s in self._board.watched.items():
             member = self._board.members.get(address)
             if member is None or member.status is not MemberStatus.ALIVE:
                 continue
-            if state.reported_at_s < oldest_s and address not in self._probing:
+            if heard_at_s < oldest_s and address not in self._probing:
                 silent.append(address)
         return silent
 
     async def _probe(self, address: str) -> None:
         try:
             if await is_reachable(self._board, self._transport, self._options, address):
-                self._forget_report(address)
+                # It lives, but has other neighbours now.
+                self._board.watched.pop(address, None)
             elif self._board.members.suspect(address):
                 log.warning("silent node suspected", peer=address)
         finally:
             self._probing.discard(address)
 
-    def _forget_report(self, address: str) -> None:
-        """Stop watching a peer that lives but has other neighbours now."""
-        peers = dict(self._board.peers.read())
-        peers.pop(address, None)
-        self._board.peers.write(peers)
-
     async def _reconnect(self) -> None:
         while True:
             await anyio.sleep(RECONNECT_INTERVAL_S * random.uniform(0.5, 1.5))
--- a/gypsumlock/membership/gossip.py
+++ b/gypsumlock/membership/gossip.py
@@ -11,7 +11,7 @@
 __all__ = ["make_report", "take_report"]
 
 
-def make_report(board: Board, members: list[Member]) -> Report:
+def make_report(board: Board, members: list[Member], regular: bool = False) -> Report:
     """Return a heartbeat that carries some member records.
 
     Parameters
@@ -20,6 +20,8 @@
         State of the sending node.
     members : list[Member]
         Records that the receiver may not have yet.
+    regular : bool
+        True when more heartbeats follow, so that the receiver may watch for them.
     """
     return Report(
         sender=board.node.address,
@@ -28,6 +30,7 @@
         members_digest=board.members.digest(),
         members=members,
         witness=board.recovery.read().witness,
+        regular=regular,
     )
 
 
@@ -41,4 +44,6 @@
         reported_at_s=time.monotonic(),
     )
     board.note_peer(report.sender, state)
+    if report.regular:
+        board.watched[report.sender] = state.reported_at_s
     board.learn_head(report.held, report.sender)
--- a/gypsumlock/membership/links.py
+++ b/gypsumlock/membership/links.py
@@ -144,7 +144,7 @@
     async def _beat(self) -> None:
         self._news = anyio.Event()
         batch = self._take_batch()
-        report = make_report(self._board, list(batch.values()))
+        report = make_report(self._board, list(batch.values()), regular=True)
         answer = await self._transport.exchange(
             self._address, report, self._options.exchange_timeout_s
         )
--- a/gypsumlock/peering/codec.py
+++ b/gypsumlock/peering/codec.py
@@ -54,6 +54,7 @@
         members_digest=report.members_digest,
         members=members_to_wire(report.members),
         witness=report.witness,
+        regular=report.regular,
     )
 
 
@@ -66,6 +67,7 @@
         members_digest=message.members_digest,
         members=members_from_wire(message.members),
         witness=message.witness,
+        regular=message.regular,
     )
 
 
--- a/gypsumlock/peering/messages.py
+++ b/gypsumlock/peering/messages.py
@@ -22,6 +22,8 @@
     members: list[Member]
     # True when the sender may vouch for the version that a restarted node ran.
     witness: bool
+    # True when the sender goes on sending heartbeats, and may be missed.
+    regular: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/gypsumlock/peering/transport.py
+++ b/gypsumlock/peering/transport.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from abc import ABC, abstractmethod
 from collections import OrderedDict
 from collections.abc import Awaitable
@@ -12,6 +13,7 @@
 
 import grpc
 import grpc.aio
+from anyio.lowlevel import checkpoint_if_cancelled
 from result import Err, Ok, Result
 
 from gypsumlock import defaults
@@ -33,6 +35,8 @@
     ("grpc.min_reconnect_backoff_ms", 200),
     ("grpc.max_reconnect_backoff_ms", 1000),
     ("grpc.enable_http_proxy", 0),
+    # Probes of the bandwidth would cost more than the heartbeats.
+    ("grpc.http2.bdp_probe", 0),
     ("grpc.use_local_subchannel_pool", 1),
     ("grpc.max_receive_message_length", defaults.MAX_SNAPSHOT_BYTES),
 )
@@ -180,3 +184,9 @@
             return Err(Fault(ResultCode.PEER_TOKEN_WRONG, found))
         found = f"{address} did not answer: {error.code().name}"
         return Err(Fault(ResultCode.PEER_UNREACHABLE, found))
+    except asyncio.CancelledError:
+        # gRPC raises an error of its own here, which a cancel scope would not
+        # take for its own and let through. Raises the scope's, if it is cancelled.
+        await checkpoint_if_cancelled()
+        found = f"the call to {address} was cut by the end of its channel"
+        return Err(Fault(ResultCode.PEER_UNREACHABLE, found))
--- a/gypsumlock/proxy/pool.py
+++ b/gypsumlock/proxy/pool.py
@@ -78,7 +78,8 @@
 
     def close(self) -> None:
         """Close every idle connection."""
-        for address, connections in self._idle.items():
+        for address in list(self._idle):
+            connections = self._idle[address]
             while connections:
                 self._drop(address, connections.pop())
 
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -259,6 +259,7 @@
                 lambda i=instance: self._knows(i, count),  # type: ignore[misc]
                 timeout_s,
                 f"{instance.plan.name} ready and knowing {count} members",
+                lambda i=instance: self._story(i),  # type: ignore[misc]
             )
 
     def wait_upstreams(self, timeout_s: float = START_TIMEOUT_S) -> None:
@@ -288,6 +289,7 @@
                 lambda i=instance: i.version() >= version,  # type: ignore[misc]
                 timeout_s,
                 f"{instance.plan.name} at version {version}",
+                lambda i=instance: self._story(i),  # type: ignore[misc]
             )
 
     def converged(self, version: int, through: Instance) -> ConvergenceReport:
@@ -370,6 +372,12 @@
             return False
         return status.members.get("alive", 0) == count
 
+    def _story(self, instance: Instance) -> str:
+        """Return what tells most about a node that did not get ready."""
+        running = [i.plan.name for i in self.instances if i.node.running()]
+        tail = "\n".join(instance.node.log.read_text().splitlines()[-40:])
+        return f"\nrunning: {running}\nstatus: {instance.status()}\n{tail}"
+
     def _make(self, plan: InstancePlan, proxied: bool) -> Instance:
         ports = free_ports(5)
         calls, peers, local, operator, upstream = (
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -23,17 +23,34 @@
 
 
 def wait_until(
-    check: Callable[[], T], timeout_s: float, what: str, poll_s: float = POLL_S
+    check: Callable[[], T],
+    timeout_s: float,
+    what: str,
+    explain: Callable[[], object] = lambda: "",
 ) -> T:
-    """Return the first true value of `check`, or raise after a time."""
+    """Return the first true value of `check`, or raise after a time.
+
+    Parameters
+    ----------
+    check : Callable[[], T]
+        Called again and again.
+    timeout_s : float
+        Time after which to give up, in seconds.
+    what : str
+        What was waited for, for the error.
+    explain : Callable[[], object]
+        Called for more about the state when time has run out.
+    """
     give_up_at_s = time.monotonic() + timeout_s
     while True:
         value = check()
         if value:
             return value
         if time.monotonic() > give_up_at_s:
-            raise TimeoutError(f"{what}: not within {timeout_s} s (last: {value!r})")
-        time.sleep(poll_s)
+            raise TimeoutError(
+                f"{what}: not within {timeout_s} s (last: {value!r}) {explain()}"
+            )
+        time.sleep(POLL_S)
 
 
 def free_ports(count: int) -> list[int]:
