Ask for confirmations sooner and send heartbeats less often

Change: the first request for confirmation after 0.03 s, doubling to 0.25 s. Heartbeats every 1.25 s in place of 1 s; silence is noticed after two of them. Time for each level of a survey. wait asks less and less often. Figures are kept in docs/figures, one file a measurement.

A crashed node is still noticed within 6 s: 1.25 + 0.8 + 1.5 s.

--- a/gypsumlock/cli/commands.py
+++ b/gypsumlock/cli/commands.py
@@ -58,7 +58,9 @@
 
 T = TypeVar("T")
 
-WAIT_POLL_S: Final = 0.2
+# Time between two surveys of `wait`: the first, and the longest.
+FIRST_WAIT_POLL_S: Final = 0.2
+MAX_WAIT_POLL_S: Final = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -224,6 +226,7 @@
     client = with_client.ok_value
     query = "" if arguments.wanted is None else f"?version={arguments.wanted}"
     give_up_at_s = time.monotonic() + arguments.timeout
+    poll_s = FIRST_WAIT_POLL_S
     while True:
         answer = client.get(f"/v1/converged{query}", ConvergenceReport)
         if isinstance(answer, Err) or answer.ok_value.converged:
@@ -233,7 +236,8 @@
             found = messages.not_converged(report.version, len(report.lagging))
             fault = Fault(ResultCode.NOT_CONVERGED, found)
             return Outcome(report, (fault,))
-        time.sleep(WAIT_POLL_S)
+        time.sleep(poll_s)
+        poll_s = min(2 * poll_s, MAX_WAIT_POLL_S)
 
 
 def check_settings(arguments: argparse.Namespace) -> Outcome:
--- a/gypsumlock/defaults.py
+++ b/gypsumlock/defaults.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 # --- Heartbeats and membership ---
-EXCHANGE_INTERVAL_S: Final = 1.0
+EXCHANGE_INTERVAL_S: Final = 1.25
 EXCHANGE_TIMEOUT_S: Final = 0.8
 MISSED_EXCHANGES_BEFORE_PROBE: Final = 2
 SUSPECT_TIMEOUT_S: Final = 1.5
@@ -21,7 +21,7 @@
 SYNC_BUCKETS: Final = 32
 MEMBERS_PER_EXCHANGE: Final = 256
 SURVEY_FANOUT: Final = 16
-SURVEY_TIMEOUT_S: Final = 2.0
+SURVEY_TIMEOUT_S: Final = 1.0
 
 # --- Announcements of upstreams ---
 ANNOUNCE_INTERVAL_S: Final = 1.0
@@ -33,6 +33,8 @@
 # so the two sets still meet after one neighbour was replaced.
 HOLD_CONFIRMATIONS: Final = 4
 RECOVERY_ANSWERS: Final = 3
+# Time between two requests for confirmation: the first, and the longest.
+FIRST_CONFIRM_INTERVAL_S: Final = 0.03
 CONFIRM_INTERVAL_S: Final = 0.25
 
 # --- Source of configuration ---
--- a/gypsumlock/distribution/activate.py
+++ b/gypsumlock/distribution/activate.py
@@ -59,6 +59,7 @@
 
     async def _activate(self, held: HeldVersion) -> None:
         """Wait until the version may run; a newer held version goes first."""
+        wait_s = defaults.FIRST_CONFIRM_INTERVAL_S
         while self._board.held.read() is held:
             fault = self._obstacle(held)
             if fault is None:
@@ -68,8 +69,9 @@
                 self._board.config_fault.write(fault)
             self._board.poke.write(None)
             revision = self._board.held.revision
-            with anyio.move_on_after(defaults.CONFIRM_INTERVAL_S):
+            with anyio.move_on_after(wait_s):
                 await self._board.held.wait_past(revision)
+            wait_s = min(2 * wait_s, defaults.CONFIRM_INTERVAL_S)
 
     def _obstacle(self, held: HeldVersion) -> Fault | None:
         version = held.ref.version
--- a/gypsumlock/distribution/survey.py
+++ b/gypsumlock/distribution/survey.py
@@ -51,8 +51,7 @@
     """Let the first member that answers survey the rest of its group."""
     for index, delegate in enumerate(group):
         rest = group[index + 1 :]
-        # The delegate needs its own time for members that do not answer.
-        timeout_s = defaults.SURVEY_TIMEOUT_S * (2 if rest else 1)
+        timeout_s = _timeout_s(len(rest))
         answer = await transport.survey(delegate, rest, timeout_s)
         if isinstance(answer, Ok):
             entries.extend(answer.ok_value)
@@ -60,6 +59,19 @@
         entries.append(_unreachable(delegate))
 
 
+def _timeout_s(rest: int) -> float:
+    """Return the time that a delegate with `rest` further members may take.
+
+    Each level below has half of the time, so that a delegate can still answer
+    after one of its own delegates did not.
+    """
+    timeout_s = defaults.SURVEY_TIMEOUT_S
+    while rest > 0:
+        timeout_s *= 2
+        rest = (rest - 1) // defaults.SURVEY_FANOUT
+    return timeout_s
+
+
 def _own_entry(board: Board) -> SurveyEntry:
     fault = board.config_fault.read()
     return SurveyEntry(
--- a/gypsumlock/peering/server.py
+++ b/gypsumlock/peering/server.py
@@ -54,7 +54,6 @@
             interceptors=[_FleetKeyInterceptor(fleet_key)],
             options=(
                 ("grpc.so_reuseport", 0),
-                ("grpc.http2.bdp_probe", 0),
                 ("grpc.max_receive_message_length", defaults.MAX_SNAPSHOT_BYTES),
             ),
         )
--- a/gypsumlock/peering/transport.py
+++ b/gypsumlock/peering/transport.py
@@ -35,8 +35,6 @@
     ("grpc.min_reconnect_backoff_ms", 200),
     ("grpc.max_reconnect_backoff_ms", 1000),
     ("grpc.enable_http_proxy", 0),
-    # Probes of the bandwidth would cost more than the heartbeats.
-    ("grpc.http2.bdp_probe", 0),
     ("grpc.use_local_subchannel_pool", 1),
     ("grpc.max_receive_message_length", defaults.MAX_SNAPSHOT_BYTES),
 )
--- a/gypsumlock/proxy/owner.py
+++ b/gypsumlock/proxy/owner.py
@@ -11,6 +11,7 @@
 
 from result import Err
 
+from gypsumlock import defaults
 from gypsumlock.admission import Gate
 from gypsumlock.blackboard import Board
 from gypsumlock.logs import Part, part_log
@@ -121,7 +122,9 @@
     ) -> AttemptResult:
         upstream = self._board.upstream.read()
         assert upstream is not None
-        acquired = await self._pool.acquire(upstream.address, upstream.slots)
+        acquired = await self._pool.acquire(
+            upstream.address, defaults.MAX_CONNECTIONS_PER_UPSTREAM
+        )
         if isinstance(acquired, Err):
             return self._refused(call, acquired.err_value)
         connection = acquired.ok_value
--- a/misc/measure.py
+++ b/misc/measure.py
@@ -1,7 +1,8 @@
 """Runs measurements and prints one JSON line for each figure.
 
-Usage: `python misc/measure.py NAME …`, `--list`, or `--all`, which also renders
-docs/MEASUREMENTS.md.
+Usage: `python misc/measure.py NAME …`, `--list`, `--all`, or `--render`. The figures
+of the last run of each measurement are kept under docs/figures; with `--all` or
+`--render` docs/MEASUREMENTS.md is rendered from them.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 import sys
 import time
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 from datetime import UTC, datetime
 from pathlib import Path
 
@@ -43,6 +45,7 @@
 __all__ = ["MEASURES"]
 
 PAGE = ROOT / "docs" / "MEASUREMENTS.md"
+FIGURES = ROOT / "docs" / "figures"
 
 MEASURES: dict[str, Callable[[], Iterator[Figure]]] = {
     "parts": measure_parts,
@@ -61,12 +64,23 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class Run:
+    """The figures of one run of a measurement."""
+
+    name: str
+    # ISO date of the run.
+    date: str
+    figures: list[Figure]
+
+
 def main() -> int:
     """Run the wanted measurements; return the exit code."""
     parser = argparse.ArgumentParser(description="Run measurements.")
     parser.add_argument("names", nargs="*", metavar="NAME")
     parser.add_argument("--list", action="store_true", help="name all measurements")
     parser.add_argument("--all", action="store_true", help="run all, render the page")
+    parser.add_argument("--render", action="store_true", help="render the page")
     arguments = parser.parse_args()
     if arguments.list:
         print("\n".join(MEASURES))
@@ -76,9 +90,10 @@
         print(f"unknown: {', '.join(sorted(unknown))}", file=sys.stderr)
         return 2
     names = list(MEASURES) if arguments.all else arguments.names
-    results = {name: run(name) for name in names}
-    if arguments.all:
-        PAGE.write_text(render(results))
+    for name in names:
+        keep(name, run(name))
+    if arguments.all or arguments.render:
+        PAGE.write_text(render([kept(name) for name in MEASURES]))
     return 0
 
 
@@ -94,22 +109,34 @@
     return figures
 
 
-def render(results: dict[str, list[Figure]]) -> str:
-    """Return the page of all figures."""
+def keep(name: str, figures: list[Figure]) -> None:
+    """Write the figures of a run to its file."""
+    FIGURES.mkdir(exist_ok=True)
     today = datetime.now(UTC).date().isoformat()
+    encoded = msgspec.json.encode(Run(name, today, figures))
+    (FIGURES / f"{name}.json").write_bytes(msgspec.json.format(encoded))
+
+
+def kept(name: str) -> Run:
+    """Return the last run of a measurement."""
+    return msgspec.json.decode((FIGURES / f"{name}.json").read_bytes(), type=Run)
+
+
+def render(runs: list[Run]) -> str:
+    """Return the page of all figures."""
     lines = [
         "# Measurements",
         "",
-        f"Rendered by `make measure` on {today}, Python {platform.python_version()}, "
-        "on a shared 8-core machine, loopback only. The machine's own noise shows in "
-        "the figures of direct calls. Targets come from the brief, letter 1 and the "
-        "issues; `-` where they give none.",
+        f"Rendered by `make measure`, Python {platform.python_version()}, on a shared "
+        "8-core machine, loopback only. The machine's own noise shows in the figures "
+        "of direct calls. Targets come from the brief, letter 1 and the issues; `-` "
+        "where they give none. One measurement: `python misc/measure.py NAME`.",
     ]
-    for name, figures in results.items():
-        first_line = (MEASURES[name].__doc__ or "").strip().splitlines()[0]
-        lines += ["", f"## {name}", "", first_line, ""]
+    for run_ in runs:
+        first_line = (MEASURES[run_.name].__doc__ or "").strip().splitlines()[0]
+        lines += ["", f"## {run_.name}", "", f"{first_line} Run on {run_.date}.", ""]
         lines += ["| figure | value | unit | target | met |", "|---|---|---|---|---|"]
-        lines += [_row(figure) for figure in figures]
+        lines += [_row(figure) for figure in run_.figures]
     return "\n".join(lines) + "\n"
 
 
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import json
 import tempfile
 import time
-from collections import Counter
-from dataclasses import dataclass, field
 from pathlib import Path
 from types import TracebackType
 from typing import Any, TypeVar
@@ -23,15 +20,13 @@
     ExceptionBody,
     LoadDefaultsBody,
     SetDefaultBody,
-    StatusReport,
     VersionReport,
 )
 from tests.standins.fault_proxy import FaultProxy
+from tests.standins.instance import REQUEST_TIMEOUT_S, Instance, InstancePlan
 from tests.standins.platform_server import PlatformControl
 from tests.standins.processes import Process, free_ports, wait_until
 from tests.standins.upstream_server import (
-    UpstreamControl,
-    UpstreamRecord,
     UpstreamSettings,
 )
 
@@ -42,7 +37,6 @@
 START_TIMEOUT_S = 15.0
 FLEET_KEY = "a fleet key that only the tests know"
 OPERATOR_TOKEN = "an operator token that only the tests know"
-REQUEST_TIMEOUT_S = 15.0
 
 
 def load_example(name: str) -> Defaults:
@@ -51,21 +45,6 @@
     return msgspec.convert(yaml.safe_load(path.read_text()), Defaults)
 
 
-@dataclass(frozen=True, slots=True)
-class InstancePlan:
-    """One instance to start: its zone and the service of its upstream."""
-
-    name: str
-    zone: str
-    # Empty for a node without an upstream.
-    service: str
-    region: str = "north"
-    slots: int = 20
-    work_ms: float = 0.0
-    # Settings of this node alone, by section.
-    overrides: dict[str, dict[str, Any]] = field(default_factory=dict)
-
-
 BOWLINE = [
     InstancePlan("search-1", "glasgow", "search"),
     InstancePlan("search-2", "edinburgh", "search"),
@@ -76,114 +55,6 @@
 ]
 
 
-@dataclass
-class Instance:
-    """One instance: a node, and the upstream beside it."""
-
-    plan: InstancePlan
-    directory: Path
-    # Addresses as `IP:port`.
-    calls: str
-    peers: str
-    local: str
-    operator: str
-    upstream_address: str
-    node: Process
-    upstream: Process | None
-    client: OperatorClient
-    proxy: FaultProxy | None = None
-    settings: dict[str, Any] = field(default_factory=dict)
-
-    @property
-    def address(self) -> str:
-        """Identity of the node."""
-        return self.proxy.address if self.proxy else self.peers
-
-    def start(self) -> None:
-        """Start the node and the upstream."""
-        self.node.start()
-        if self.upstream is not None:
-            self.upstream.start()
-
-    def status(self) -> StatusReport | None:
-        """Return the node's state, or None if it does not answer."""
-        answer = self.client.get("/v1/status", StatusReport)
-        return answer.unwrap_or(None)
-
-    def ready(self) -> bool:
-        """Tell whether the node carries calls."""
-        status = self.status()
-        return status is not None and status.ready
-
-    def version(self) -> int:
-        """Return the version in force, or -1 if the node does not answer."""
-        status = self.status()
-        return status.in_force_version if status else -1
-
-    def get(
-        self,
-        path: str,
-        headers: dict[str, str] | None = None,
-        method: str = "GET",
-        content: bytes | None = None,
-        timeout_s: float = REQUEST_TIMEOUT_S,
-    ) -> httpcore.Response:
-        """Send one call to the node, on a connection of its own."""
-        return send_call(self.calls, method, path, headers, content, timeout_s)
-
-    def control_upstream(self, control: UpstreamControl) -> None:
-        """Change how the upstream behaves."""
-        url = f"http://{self.upstream_address}/_control"
-        httpcore.request("POST", url, content=msgspec.json.encode(control))
-
-    def record(self) -> UpstreamRecord:
-        """Return what the upstream has run."""
-        answer = httpcore.request("GET", f"http://{self.upstream_address}/_record")
-        return msgspec.json.decode(answer.content, type=UpstreamRecord)
-
-    def runs(self) -> Counter[str]:
-        """Return how often the upstream ran each call, over all its starts."""
-        path = self.directory / f"{self.plan.name}.runs"
-        return Counter(path.read_text().split()) if path.exists() else Counter()
-
-    def versions_run(self) -> list[int]:
-        """Return every version that the node put in force, in order."""
-        return [
-            entry["fields"]["version"]
-            for entry in self.log_entries()
-            if entry["message"] == "version in force"
-        ]
-
-    def log_entries(self) -> list[dict[str, Any]]:
-        """Return the node's log lines, over all its starts."""
-        if not self.node.log.exists():
-            return []
-        entries = []
-        for line in self.node.log.read_text().splitlines():
-            if line.startswith("{"):
-                entries.append(json.loads(line))
-        return entries
-
-
-def send_call(
-    address: str,
-    method: str,
-    path: str,
-    headers: dict[str, str] | None = None,
-    content: bytes | None = None,
-    timeout_s: float = REQUEST_TIMEOUT_S,
-) -> httpcore.Response:
-    """Send one HTTP request on a connection of its own."""
-    limits = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
-    return httpcore.request(
-        method,
-        f"http://{address}{path}",
-        headers=[("host", "mesh"), ("connection", "close"), *(headers or {}).items()],
-        content=content,
-        extensions={"timeout": limits},
-    )
-
-
 class Fleet:
     """Starts instances around one platform and drives them.
 
