Spend less processor time on each call

Cause: the node's own time for a call, by a profile at 100 calls a second: a fifth for its log line, about a twentieth for the text of a cancellation that nobody reads, about a twentieth for the signature, and a middleware of uvicorn that rewrites the client's address from forwarded headers, which is not wanted at all.

Change: the JSON sink renders no second format; fields go to loguru without a new logger for each line; one-shot HMAC; a task in place of a task group to watch for the client's leaving; the middleware is off.

Ruled out: loguru as the main cost; at level WARNING, which has no line for a call, the hop's p99 was 3.58 ms.

--- a/gypsumlock/http_app.py
+++ b/gypsumlock/http_app.py
@@ -50,6 +50,8 @@
         access_log=False,
         server_header=False,
         date_header=False,
+        # Forwarded headers are the upstream's to judge.
+        proxy_headers=False,
         timeout_keep_alive=defaults.SERVER_KEEP_ALIVE_S,
         h11_max_incomplete_event_size=defaults.MAX_HEADER_BYTES,
     )
--- a/gypsumlock/logs.py
+++ b/gypsumlock/logs.py
@@ -48,19 +48,19 @@
 
     def debug(self, sentence: str, **fields: object) -> None:
         """Log a detail, such as the routing decision of one call."""
-        self._logger.bind(fields=fields).debug(sentence)
+        self._logger.debug(sentence, fields=fields)
 
     def info(self, sentence: str, **fields: object) -> None:
         """Log a change of state."""
-        self._logger.bind(fields=fields).info(sentence)
+        self._logger.info(sentence, fields=fields)
 
     def warning(self, sentence: str, **fields: object) -> None:
         """Log something that an operator may have to act on."""
-        self._logger.bind(fields=fields).warning(sentence)
+        self._logger.warning(sentence, fields=fields)
 
     def error(self, sentence: str, **fields: object) -> None:
         """Log a failure of the node itself."""
-        self._logger.bind(fields=fields).error(sentence)
+        self._logger.error(sentence, fields=fields)
 
 
 def part_log(part: Part) -> PartLog:
@@ -72,7 +72,8 @@
     """Send all log lines to standard error in the wanted format."""
     logger.remove()
     if options.format == "json":
-        logger.add(_write_json, level=options.level)
+        # The sink reads the record; a longer format would be rendered for nothing.
+        logger.add(_write_json, level=options.level, format="{message}")
     else:
         logger.add(sys.stderr, level=options.level, format=_text_format)
 
--- a/gypsumlock/proxy/app.py
+++ b/gypsumlock/proxy/app.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 
 import anyio
@@ -73,10 +74,13 @@
         body = RequestBody(receive)
         responder = Responder(send, last=self._board.stopping.read())
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(_cancel_when_gone, body, tasks.cancel_scope)
-                await self._dispatch(head, body, responder)
-                tasks.cancel_scope.cancel()
+            with anyio.CancelScope() as call_scope:
+                # A bare task, since a task group for each call costs more.
+                watcher = asyncio.create_task(_cancel_when_gone(body, call_scope))
+                try:
+                    await self._dispatch(head, body, responder)
+                finally:
+                    watcher.cancel()
         except* ClientGone:
             log.debug("client went away", path=head.path)
         except* ConnectionLost as group:
--- a/gypsumlock/proxy/context.py
+++ b/gypsumlock/proxy/context.py
@@ -10,7 +10,6 @@
 
 import base64
 import binascii
-import hashlib
 import hmac
 import time
 from collections.abc import Callable
@@ -88,5 +87,4 @@
         return context.issued_unix_s + context.remaining_s - self._wall()
 
     def _signature(self, body: bytes) -> bytes:
-        digest = hmac.new(self._key, body, hashlib.sha256).digest()
-        return base64.urlsafe_b64encode(digest)
+        return base64.urlsafe_b64encode(hmac.digest(self._key, body, "sha256"))
