--- a/gypsumlock/cli/commands.py
+++ b/gypsumlock/cli/commands.py
@@ -41,6 +41,7 @@
 
 __all__ = [
     "Outcome",
+    "SettingsReport",
     "add_exception",
     "check_settings",
     "edit_exception",
@@ -78,6 +79,13 @@
         return self.faults[0].code if self.faults else ResultCode.OK
 
 
+@dataclass(frozen=True, slots=True)
+class SettingsReport:
+    """A settings file in which no fault was found."""
+
+    file: str
+
+
 def show_defaults(arguments: argparse.Namespace) -> Outcome:
     """Show all defaults."""
     return _ask(arguments, "/v1/defaults", DefaultsReport)
@@ -234,7 +242,7 @@
     secrets = load_secrets(options.ok_value)
     if isinstance(secrets, Err):
         return Outcome(None, tuple(secrets.err_value))
-    return Outcome({"settings": arguments.file, "faults": 0})
+    return Outcome(SettingsReport(arguments.file))
 
 
 def _ask(arguments: argparse.Namespace, path: str, kind: Any) -> Outcome:
--- a/gypsumlock/cli/render.py
+++ b/gypsumlock/cli/render.py
@@ -11,7 +11,7 @@
 import yaml
 
 from gypsumlock import messages
-from gypsumlock.cli.commands import Outcome
+from gypsumlock.cli.commands import Outcome, SettingsReport
 from gypsumlock.distribution import HistoryEntry
 from gypsumlock.model.diff import Difference
 from gypsumlock.operator.messages import (
@@ -125,6 +125,11 @@
         yield messages.dead_nodes(value.dead)
 
 
+@_lines.register
+def _(value: SettingsReport) -> Iterator[str]:
+    yield messages.settings_good(value.file)
+
+
 @_lines.register
 def _(value: StatusReport) -> Iterator[str]:
     yield _as_yaml(value)
--- a/gypsumlock/model/diff.py
+++ b/gypsumlock/model/diff.py
@@ -42,5 +42,6 @@
     elif isinstance(value, list | tuple) and any(isinstance(x, dict) for x in value):
         for child in value:
             yield from _flatten(f"{path}.{child['name']}", child)
-    else:
+    elif value not in (None, "", [], ()):
+        # An empty value says nothing; it counts as absent.
         yield path, value
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -207,6 +207,9 @@
         [difference] = diff_snapshots(first, second)
         self.assertEqual(difference.path, "defaults.routes.book.timeout_s")
         self.assertEqual((difference.before, difference.after), (3.0, 2.0))
+        third = self.edit(second, self.add("one"))
+        paths = [difference.path for difference in diff_snapshots(second, third)]
+        self.assertTrue(all(path.startswith("exceptions.one.") for path in paths))
 
 
 class TestCompile(unittest.TestCase):
