Prove that urgent calls go on while nodes die in herds

Change: a test that kills three of four bookings instances at once, with the platform hanging and a default just changed, under 100 bookings a second, and the mutation that it fails without.

Ruled out: counting an unreachable node as a failure for ejection. The test passes without it: suspicion comes first.

--- a/misc/mutations.py
+++ b/misc/mutations.py
@@ -125,6 +125,13 @@
         "return True",
         f"{_CALLS}.test_upstream_drops_connection_at_wait",
     ),
+    Mutation(
+        "a call that was not run is sent elsewhere",
+        "gypsumlock/proxy/caller.py",
+        "        if result.state is AttemptState.NOT_RUN:\n            return True\n",
+        "        if result.state is AttemptState.NOT_RUN:\n            return False\n",
+        "tests.test_calls.TestHerd.test_urgent_calls_go_on",
+    ),
     Mutation(
         "an upstream's word about what ran is not believed",
         "gypsumlock/proxy/owner.py",
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -40,10 +40,11 @@
 
     fleet: Fleet
     proxied = False
+    plans = PLANS
 
     @classmethod
     def setUpClass(cls) -> None:
-        cls.fleet = Fleet(PLANS, cls.proxied).__enter__()
+        cls.fleet = Fleet(cls.plans, cls.proxied).__enter__()
         cls.addClassCleanup(cls.fleet.__exit__, None, None, None)
         cls.fleet.wait_ready()
         cls.fleet.wait_upstreams()
@@ -135,6 +136,47 @@
         self.assertIn(leaver.calls, known)
 
 
+class TestHerd(CallCase):
+    """Most upstreams of the urgent work die at once, with the platform out."""
+
+    plans = [
+        InstancePlan("edge", "glasgow", ""),
+        InstancePlan("bookings-1", "glasgow", "bookings"),
+        InstancePlan("bookings-2", "glasgow", "bookings"),
+        InstancePlan("bookings-3", "perth", "bookings"),
+        InstancePlan("bookings-4", "stirling", "bookings"),
+    ]
+
+    def test_urgent_calls_go_on(self) -> None:
+        with ThreadPoolExecutor(8) as threads:
+            pending = []
+            for index in range(400):
+                if index == 40:
+                    self.strike()
+                pending.append(threads.submit(self.book))
+                time.sleep(0.01)
+            answers = [(p.result().status, self.outcome(p.result())) for p in pending]
+        # What was in flight at the dead may have run; nothing else is lost.
+        lost = {answer for answer in answers if answer[0] != 200}
+        self.assertLessEqual(lost, {(502, "unknown"), (504, "unknown")})
+        self.assertEqual({status for status, _ in answers[100:]}, {200})
+
+    def strike(self) -> None:
+        self.fleet.set_default("limits.ejection_s", 6.0, self.fleet["edge"])
+        self.fleet.control_platform(PlatformControl("hang"))
+        for name in ("bookings-1", "bookings-2", "bookings-3"):
+            instance = self.fleet[name]
+            assert instance.upstream is not None
+            instance.node.kill()
+            instance.upstream.kill()
+
+    def book(self) -> httpcore.Response:
+        return self.fleet["edge"].get("/book/x?ms=20", method="POST")
+
+    def outcome(self, answer: httpcore.Response) -> str:
+        return dict(answer.headers).get(b"gypsumlock-outcome", b"").decode()
+
+
 class TestNesting(CallCase):
     """Rank, deadline and depth go with a call through its upstreams."""
 
