--- a/misc/mutations.py
+++ b/misc/mutations.py
@@ -55,6 +55,13 @@
         "if False:",
         "tests.test_model.TestDigest.test_every_change_of_a_byte_is_found",
     ),
+    Mutation(
+        "a snapshot with faults is not compiled",
+        "gypsumlock/model/compiler.py",
+        "    if faults:\n        return Err(faults)\n",
+        "",
+        "tests.test_bad_snapshots.TestBadSnapshots.test_snapshot_that_does_not_compile",
+    ),
     Mutation(
         "a version is confirmed by neighbours before it runs",
         "gypsumlock/distribution/activate.py",
