Check that the eleventh call is refused for its depth

Cause: in a run of all 27 mutations on a busy machine one passed without its mechanism: the test took any status but 200 for a refusal.

--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -12,6 +12,7 @@
 import psutil
 
 from gypsumlock.proxy.headers import CONTEXT
+from gypsumlock.result_codes import ResultCode
 from tests.standins.fleet import Fleet, Instance, InstancePlan, load_example
 from tests.standins.paced_call import PacedCall
 from tests.standins.platform_server import PlatformControl
@@ -205,6 +206,14 @@
         self.assertEqual(self.nested("/search/x?ms=1", chain).status, 200)
         deeper = self.nested("/search/x?ms=1", chain + ",/search/x")
         self.assertNotEqual(deeper.status, 200)
+        # Refused for its depth, and not for another reason.
+        refused = [
+            entry["fields"]["code"]
+            for instance in self.fleet.instances
+            for entry in instance.log_entries()
+            if entry["message"] == "call refused"
+        ]
+        self.assertEqual(refused, [ResultCode.CALL_TOO_DEEP.value])
 
     def test_client_can_not_raise_its_rank(self) -> None:
         forged = {CONTEXT.decode(): "eyJraW5kIjoiaG9wIn0=.AAAA"}
