Remove what nothing uses, and read processor time in one place

Cause: reading the whole change again. Three constants and one property had no user, and two measurements held the same function.

Change: they are gone; cpu_s stands beside the other parts of a figure. Nothing behaves otherwise.

The whole suite was not run again at this commit.

Ruled out: merging the set and restore commands, which are alike in shape only.

--- a/gypsumlock/defaults.py
+++ b/gypsumlock/defaults.py
@@ -11,7 +11,6 @@
 # --- Heartbeats and membership ---
 EXCHANGE_INTERVAL_S: Final = 2.0
 EXCHANGE_TIMEOUT_S: Final = 0.8
-MISSED_EXCHANGES_BEFORE_PROBE: Final = 2
 SUSPECT_TIMEOUT_S: Final = 1.5
 FORGET_DEAD_AFTER_S: Final = 600.0
 NEIGHBOURS: Final = 5
@@ -24,7 +23,6 @@
 SURVEY_TIMEOUT_S: Final = 1.0
 
 # --- Announcements of upstreams ---
-ANNOUNCE_INTERVAL_S: Final = 1.0
 ANNOUNCE_SILENCE_S: Final = 3.0
 
 # --- Confirmation before a version goes in force ---
@@ -73,7 +71,6 @@
 QUEUE_PER_RANK: Final = 64
 LIMIT_WINDOW_CALLS: Final = 20
 LIMIT_LATENCY_TOLERANCE: Final = 2.0
-MIN_LIMIT: Final = 1
 
 # --- Stopping ---
 LINGER_S: Final = 1.0
--- a/gypsumlock/proxy/request.py
+++ b/gypsumlock/proxy/request.py
@@ -103,11 +103,6 @@
         """True while the body can be sent again from its begin."""
         return not self._overflowed
 
-    @property
-    def size_kept_bytes(self) -> int:
-        """Bytes kept for another attempt."""
-        return self._kept_bytes
-
     async def read_first(self) -> None:
         """Read the first part, so that short bodies are known whole."""
         if self._kept or self.finished:
--- a/misc/measures/calls.py
+++ b/misc/measures/calls.py
@@ -8,7 +8,7 @@
 
 import psutil
 
-from misc.measures.figure import Figure, percentile
+from misc.measures.figure import Figure, cpu_s, percentile
 from misc.measures.load import LoadClient, Stream
 from tests.standins.fleet import Fleet, InstancePlan, load_example
 from tests.standins.upstream_server import UpstreamControl
@@ -113,9 +113,9 @@
             ("caller_side", edge.calls, edge.node.pid),
         ):
             process = psutil.Process(pid)
-            before = _cpu_s(process)
+            before = cpu_s(process)
             count = asyncio.run(_closed_loop(address))
-            per_core = count / (_cpu_s(process) - before)
+            per_core = count / (cpu_s(process) - before)
             yield Figure(
                 f"node_throughput_{name}", round(per_core), "calls per core-second",
                 better="higher",
@@ -180,8 +180,3 @@
     runs = sum(sum(i.runs().values()) for i in fleet.instances)
     good = sum(call.status == 200 for call in client.calls)
     return runs, len(client.calls), good
-
-
-def _cpu_s(process: psutil.Process) -> float:
-    times = process.cpu_times()
-    return float(times.user + times.system)
--- a/misc/measures/config.py
+++ b/misc/measures/config.py
@@ -12,7 +12,7 @@
 
 import psutil
 
-from misc.measures.figure import Figure, percentile
+from misc.measures.figure import Figure, cpu_s, percentile
 from tests.standins.fleet import Fleet, Instance, InstancePlan, load_example
 from tests.standins.platform_server import PlatformControl
 
@@ -182,7 +182,7 @@
 def _cost(fleet: Fleet, name: str, change_every_s: float) -> Iterator[Figure]:
     """Yield the processor time, or the bytes where proxies count them."""
     processes = [psutil.Process(i.node.pid) for i in fleet.instances]
-    cpu_before = [_cpu_s(process) for process in processes]
+    cpu_before = [cpu_s(process) for process in processes]
     bytes_before = _peer_bytes(fleet)
     started_s = time.monotonic()
     while (left_s := started_s + OBSERVED_S - time.monotonic()) > 0:
@@ -192,7 +192,7 @@
             )
         time.sleep(min(left_s, change_every_s or left_s))
     elapsed_s = time.monotonic() - started_s
-    used = [_cpu_s(p) - b for p, b in zip(processes, cpu_before, strict=True)]
+    used = [cpu_s(p) - b for p, b in zip(processes, cpu_before, strict=True)]
     # The accepting node serves the operator as well, so it is left out.
     share = 100 * sum(used[1:]) / len(used[1:]) / elapsed_s
     count = len(fleet.instances)
@@ -234,10 +234,5 @@
     return float(json.loads(done.stdout)) / MIB
 
 
-def _cpu_s(process: psutil.Process) -> float:
-    times = process.cpu_times()
-    return float(times.user + times.system)
-
-
 def _peer_bytes(fleet: Fleet) -> int:
     return sum(i.proxy.forwarded_bytes for i in fleet.instances if i.proxy)
--- a/misc/measures/figure.py
+++ b/misc/measures/figure.py
@@ -1,4 +1,4 @@
-"""One measured figure, and percentiles."""
+"""One measured figure, percentiles, and processor time."""
 
 from __future__ import annotations
 
@@ -6,7 +6,9 @@
 from dataclasses import dataclass
 from typing import Literal
 
-__all__ = ["Figure", "percentile"]
+import psutil
+
+__all__ = ["Figure", "cpu_s", "percentile"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,3 +29,9 @@
         return 0.0
     ordered = sorted(values)
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def cpu_s(process: psutil.Process) -> float:
+    """Return the processor time that a process has used, in seconds."""
+    times = process.cpu_times()
+    return float(times.user + times.system)
