--- a/gypsumlock/composition.py
+++ b/gypsumlock/composition.py
@@ -41,11 +41,11 @@
 from gypsumlock.options import Options
 from gypsumlock.peering import GrpcTransport
 from gypsumlock.peering.server import PeerServer
-from gypsumlock.platform import HttpPlatform, MemoryPlatform, Platform
 from gypsumlock.proxy import CallApp, CallerSide, ContextSigner, OwnerSide, RawPool
 from gypsumlock.proxy.upkeep import SlotsController, UpkeepController
 from gypsumlock.routing import UpstreamChooser
 from gypsumlock.settings import Secrets
+from gypsumlock.store import HttpPlatform, MemoryPlatform, Platform
 
 __all__ = ["Node", "build_node"]
 
--- a/gypsumlock/distribution/accept.py
+++ b/gypsumlock/distribution/accept.py
@@ -44,8 +44,8 @@
     encode_snapshot,
     next_snapshot,
 )
-from gypsumlock.platform import Condition, Platform, Write
 from gypsumlock.result_codes import Fault, ResultCode
+from gypsumlock.store import Condition, Platform, Write
 
 __all__ = ["Acceptor", "ChangeRequest"]
 
--- a/gypsumlock/distribution/fetch.py
+++ b/gypsumlock/distribution/fetch.py
@@ -34,8 +34,8 @@
     internal_fault,
 )
 from gypsumlock.peering import PeerTransport
-from gypsumlock.platform import ObjectStore
 from gypsumlock.result_codes import Fault, ResultCode
+from gypsumlock.store import ObjectStore
 
 __all__ = ["FetchController", "hold_version"]
 
--- a/gypsumlock/distribution/head_poll.py
+++ b/gypsumlock/distribution/head_poll.py
@@ -19,8 +19,8 @@
 from gypsumlock.controller import Backoff, Controller
 from gypsumlock.distribution.rows import read_head
 from gypsumlock.logs import Part, part_log
-from gypsumlock.platform import TableService
 from gypsumlock.result_codes import Fault
+from gypsumlock.store import TableService
 
 __all__ = ["HeadPollController", "poll_interval_s"]
 
--- a/gypsumlock/distribution/history.py
+++ b/gypsumlock/distribution/history.py
@@ -13,8 +13,8 @@
     version_key,
 )
 from gypsumlock.model import EMPTY_SNAPSHOT, Origin, Snapshot
-from gypsumlock.platform import TableService
 from gypsumlock.result_codes import Fault, ResultCode
+from gypsumlock.store import TableService
 
 __all__ = ["History", "HistoryEntry"]
 
--- a/gypsumlock/distribution/payload.py
+++ b/gypsumlock/distribution/payload.py
@@ -15,8 +15,8 @@
     VersionRef,
     decode_snapshot,
 )
-from gypsumlock.platform import ObjectStore
 from gypsumlock.result_codes import Fault, ResultCode
+from gypsumlock.store import ObjectStore
 
 __all__ = ["SnapshotReader", "compress", "decompress"]
 
--- a/gypsumlock/distribution/rows.py
+++ b/gypsumlock/distribution/rows.py
@@ -13,8 +13,8 @@
 from result import Err, Ok, Result
 
 from gypsumlock.model import EMPTY_REF, Origin, VersionRef
-from gypsumlock.platform import Row, TableService
 from gypsumlock.result_codes import Fault, ResultCode
+from gypsumlock.store import Row, TableService
 
 __all__ = [
     "HEAD_KEY",
--- a/gypsumlock/membership/bootstrap.py
+++ b/gypsumlock/membership/bootstrap.py
@@ -24,7 +24,7 @@
 from gypsumlock.logs import Part, part_log
 from gypsumlock.options import MembershipOptions
 from gypsumlock.peering import PeerTransport
-from gypsumlock.platform import Condition, Row, TableService, Write
+from gypsumlock.store import Condition, Row, TableService, Write
 
 __all__ = ["BootstrapController", "NodeRow"]
 
--- /dev/null
+++ b/gypsumlock/mesh/admission.py
@@ -0,0 +1,259 @@
+"""Decides which calls an upstream runs, in which order, and which are refused.
+
+Load that this answers: more calls for one upstream than its slots can run in
+time, of several ranks at once. The queue is pure: it knows no network and no
+clock, and is driven by its owner.
+
+Rules:
+1. A call is taken only if it is expected to be answered by its latency target.
+2. A call that can't be, but wants a late answer, waits behind all punctual ones
+   and is taken only if its deadline leaves ample room.
+3. All others are refused at once, with the time at which room is expected.
+4. Ranks go in order, within a rank the earliest target first: calls that upstreams
+   make while they hold a slot have the shortest targets. The lowest waiting rank
+   gets each `FLOOR_EVERY`th slot.
+"""
+
+from __future__ import annotations
+
+from bisect import insort
+from dataclasses import dataclass, field
+from enum import Enum
+
+__all__ = ["AdmissionQueue", "ServiceTimes", "Ticket", "TicketState", "Verdict"]
+
+# Weight of the newest sample in the moving mean of service times.
+SAMPLE_WEIGHT = 0.1
+# Assumed time in the upstream before the first sample, in seconds.
+FIRST_SERVICE_S = 0.1
+# One of so many freed slots goes to the lowest waiting rank.
+FLOOR_EVERY = 10
+# A late call is taken if its expected wait fits so many times in what is left.
+LATE_MARGIN = 2.0
+# Shortest return time told to a refused caller, in seconds.
+MIN_RETRY_AFTER_S = 0.05
+# An upstream counts as stalled after so many mean service times without an end.
+STALL_SERVICES = 3.0
+# Ranks for which a wait is reported; lower ones share the last.
+REPORTED_RANKS = 4
+
+
+class TicketState(Enum):
+    """Where a call stands at the owner."""
+
+    WAITING = "waiting"
+    ADMITTED = "admitted"
+    DROPPED = "dropped"
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """One call that asks for a slot. Times are monotonic seconds."""
+
+    route: str
+    rank: int
+    late_ok: bool
+    target_at_s: float
+    deadline_at_s: float
+    state: TicketState = TicketState.WAITING
+    # True once the latency target can't be met any more.
+    late: bool = False
+    # Expected time in the upstream, in seconds; set when the ticket is offered.
+    service_s: float = field(default=FIRST_SERVICE_S)
+
+    def order(self) -> tuple[bool, int, float]:
+        """Return the sort key; smaller ones are served first."""
+        return (self.late, self.rank, self.target_at_s)
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Answer to an offered call."""
+
+    state: TicketState
+    # For a refused call, time until room is expected, in seconds.
+    retry_after_s: float = 0.0
+
+
+class ServiceTimes:
+    """Moving mean of the time in the upstream, by route."""
+
+    __slots__ = ("_mean_s", "overall_s")
+
+    def __init__(self) -> None:
+        self._mean_s: dict[str, float] = {}
+        self.overall_s = FIRST_SERVICE_S
+
+    def note(self, route: str, service_s: float) -> None:
+        """Take one sample in."""
+        mean_s = self._mean_s.get(route, service_s)
+        self._mean_s[route] = mean_s + SAMPLE_WEIGHT * (service_s - mean_s)
+        self.overall_s += SAMPLE_WEIGHT * (service_s - self.overall_s)
+
+    def of(self, route: str) -> float:
+        """Return the expected time for a route, in seconds."""
+        return self._mean_s.get(route, self.overall_s)
+
+    def known(self, route: str) -> float:
+        """Return the mean for a route, or 0 before its first sample."""
+        return self._mean_s.get(route, 0.0)
+
+
+class AdmissionQueue:
+    """Slots of one upstream and the calls that wait for them."""
+
+    __slots__ = (
+        "_progress_at_s",
+        "_since_lowest",
+        "_waiting",
+        "in_flight",
+        "slots",
+        "times",
+    )
+
+    def __init__(self) -> None:
+        self.slots = 1
+        self.in_flight = 0
+        self.times = ServiceTimes()
+        self._waiting: list[Ticket] = []
+        self._since_lowest = 0
+        self._progress_at_s = 0.0
+
+    @property
+    def waiting(self) -> int:
+        """Number of calls that wait for a slot."""
+        return len(self._waiting)
+
+    def offer(self, ticket: Ticket, now_s: float) -> Verdict:
+        """Admit a call, let it wait, or refuse it.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The call. Its expected service time is set here.
+        now_s : float
+            Monotonic time.
+        """
+        ticket.service_s = self.times.of(ticket.route)
+        if self.in_flight < self.slots and not self._waiting:
+            if now_s + ticket.service_s > ticket.deadline_at_s:
+                return self._refuse(ticket, 0.0)
+            self._admit(ticket, now_s)
+            return Verdict(TicketState.ADMITTED)
+        wait_s = self.expected_wait_s(ticket.order(), now_s)
+        end_s = now_s + wait_s + ticket.service_s
+        if end_s > ticket.target_at_s:
+            if not ticket.late_ok:
+                return self._refuse(ticket, end_s - ticket.target_at_s)
+            ticket.late = True
+            wait_s = self.expected_wait_s(ticket.order(), now_s)
+            left_s = ticket.deadline_at_s - now_s - ticket.service_s
+            if wait_s * LATE_MARGIN > left_s:
+                return self._refuse(ticket, wait_s)
+        insort(self._waiting, ticket, key=Ticket.order)
+        return Verdict(TicketState.WAITING)
+
+    def release(self, ticket: Ticket, now_s: float, service_s: float | None) -> None:
+        """Free the slot of an admitted call.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The call that ended.
+        now_s : float
+            Monotonic time.
+        service_s : float | None
+            Time that it took, in seconds, if it was answered.
+        """
+        self.in_flight -= 1
+        self._progress_at_s = now_s
+        if service_s is not None:
+            self.times.note(ticket.route, service_s)
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Take a call out that waits no longer."""
+        if ticket in self._waiting:
+            self._waiting.remove(ticket)
+        ticket.state = TicketState.DROPPED
+
+    def take_ready(self, now_s: float) -> list[Ticket]:
+        """Return the calls that left the queue: admitted, or dropped as hopeless."""
+        left = self._drop_hopeless(now_s)
+        while self._waiting and self.in_flight < self.slots:
+            ticket = self._waiting.pop(self._next_index())
+            self._admit(ticket, now_s)
+            left.append(ticket)
+        return left
+
+    def expected_wait_s(self, order: tuple[bool, int, float], now_s: float) -> float:
+        """Return the expected wait of a call with some sort key, in seconds."""
+        if self.in_flight < self.slots and not self._waiting:
+            return 0.0
+        ahead_s = 0.0
+        for ticket in self._waiting:
+            if ticket.order() > order:
+                break
+            ahead_s += ticket.service_s
+        mean_s = self.times.overall_s
+        stalled_s = now_s - self._progress_at_s - STALL_SERVICES * mean_s
+        return (ahead_s + mean_s) / self.slots + max(0.0, stalled_s)
+
+    def waits_by_rank(self, now_s: float) -> tuple[float, ...]:
+        """Return the expected wait of a new call by rank, in seconds."""
+        if self.in_flight < self.slots:
+            return ()
+        last = float("inf")
+        return tuple(
+            round(self.expected_wait_s((False, rank, last), now_s), 4)
+            for rank in range(REPORTED_RANKS)
+        )
+
+    def _admit(self, ticket: Ticket, now_s: float) -> None:
+        if self.in_flight == 0:
+            self._progress_at_s = now_s
+        ticket.state = TicketState.ADMITTED
+        self.in_flight += 1
+
+    def _refuse(self, ticket: Ticket, over_s: float) -> Verdict:
+        ticket.state = TicketState.DROPPED
+        return Verdict(TicketState.DROPPED, max(MIN_RETRY_AFTER_S, over_s))
+
+    def _drop_hopeless(self, now_s: float) -> list[Ticket]:
+        """Drop calls that can't be answered in time; demote late ones."""
+        dropped: list[Ticket] = []
+        demoted: list[Ticket] = []
+        kept: list[Ticket] = []
+        for ticket in self._waiting:
+            end_s = now_s + ticket.service_s
+            if end_s > ticket.deadline_at_s:
+                ticket.state = TicketState.DROPPED
+                dropped.append(ticket)
+            elif end_s > ticket.target_at_s and not ticket.late:
+                ticket.late = True
+                demoted.append(ticket)
+            else:
+                kept.append(ticket)
+        self._waiting = kept
+        for ticket in demoted:
+            insort(self._waiting, ticket, key=Ticket.order)
+        return dropped
+
+    def _next_index(self) -> int:
+        """Return the place of the call that gets the next free slot."""
+        first = self._waiting[0]
+        lowest = max(
+            range(len(self._waiting)),
+            key=lambda index: (
+                not self._waiting[index].late,
+                self._waiting[index].rank,
+                -index,
+            ),
+        )
+        if self._waiting[lowest].rank == first.rank:
+            self._since_lowest = 0
+            return 0
+        self._since_lowest += 1
+        if self._since_lowest < FLOOR_EVERY:
+            return 0
+        self._since_lowest = 0
+        return lowest
--- /dev/null
+++ b/gypsumlock/mesh/caller.py
@@ -0,0 +1,357 @@
+"""Carries the calls of clients, and of the upstream beside the node.
+
+Phases of a call:
+1. Classify: route, deadline and latency target, from the table in force. The call
+   keeps that table.
+2. Choose an upstream, and offer it the call. An owner that has no room in time
+   refuses, which costs nothing; the next one is asked.
+3. If nobody has room in time, offer the call once more for a late answer.
+4. After a failure, send it again only where that is safe and the budget allows.
+5. Answer. Statuses 503 and 404 say that the call has not run; 502 and 504 don't.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import msgspec
+
+from gypsumlock.logs import Part, part_log
+from gypsumlock.mesh.directory import Directory
+from gypsumlock.mesh.http_server import HttpHandler, HttpRequest, ServerConnection
+from gypsumlock.mesh.http_text import forwardable
+from gypsumlock.mesh.model import (
+    Answer,
+    CallOutcome,
+    CallRequest,
+    ClientLimits,
+    Failure,
+    Headers,
+    Refusal,
+    RouteSpec,
+)
+from gypsumlock.mesh.placement import CallShape, Placement, UpstreamView
+from gypsumlock.mesh.retry_budget import RetryBudget
+from gypsumlock.mesh.share_counter import ShareCounter
+from gypsumlock.mesh.state import MeshState
+from gypsumlock.metrics import Metrics
+from gypsumlock.result_codes import ResultCode, entry_of
+
+__all__ = ["Caller"]
+
+log = part_log(Part.ROUTE)
+
+# Time told to a client that is refused for want of any upstream or configuration.
+NO_UPSTREAM_RETRY_S = 0.3
+# Shortest time in which it is worth offering a call to an upstream.
+MIN_LEFT_S = 0.01
+# Time for the upstream's own answer at the deadline to arrive.
+DEADLINE_SLACK_S = 0.06
+# Owners asked for a punctual answer, and then for a late one.
+PUNCTUAL_OFFERS = 4
+LATE_OFFERS = 2
+# Calls that a stopping node still takes, counted from the stop request.
+STOP_CALLS_S = 3.0
+# Weight of the newest sample in the mean size of a route's calls.
+SIZE_WEIGHT = 0.1
+SERVER_ERROR = 500
+
+
+@dataclass(slots=True)
+class _Call:
+    """One classified call and what has become of it so far."""
+
+    route: RouteSpec
+    service: str
+    version: int
+    request: HttpRequest
+    request_id: bytes
+    headers: Headers
+    target_at_s: float
+    deadline_at_s: float
+    # Upstreams that were sent the call, or may have been.
+    sent_to: set[str] = field(default_factory=set)
+    # True once the call may have run.
+    unknown: bool = False
+    retry_after_s: float = 0.0
+    # The best answer so far that is not a good one.
+    spare: Answer | None = None
+    refusal_code: ResultCode = ResultCode.CALL_NO_UPSTREAM
+
+
+class Caller(HttpHandler):
+    """Routes calls, and repeats them where that is safe.
+
+    Parameters
+    ----------
+    state : MeshState
+        The node's blackboard.
+    directory : Directory
+        Upstreams and the ways to them.
+    placement : Placement
+        Compares upstreams.
+    metrics : Metrics
+        Counts what happened.
+    """
+
+    __slots__ = (
+        "_budgets",
+        "_directory",
+        "_loop",
+        "_metrics",
+        "_placement",
+        "_shares",
+        "_sizes",
+        "_state",
+    )
+
+    def __init__(
+        self,
+        state: MeshState,
+        directory: Directory,
+        placement: Placement,
+        metrics: Metrics,
+    ) -> None:
+        self._state = state
+        self._directory = directory
+        self._placement = placement
+        self._metrics = metrics
+        self._loop = asyncio.get_running_loop()
+        self._shares = ShareCounter()
+        self._budgets: dict[str, RetryBudget] = {}
+        # Mean size of request and answer by route, in bytes.
+        self._sizes: dict[str, float] = {}
+
+    def limits(self) -> ClientLimits:
+        """Return the bounds on clients of the version in force."""
+        table = self._state.table
+        return table.config.limits if table else super().limits()
+
+    async def handle(self, request: HttpRequest, connection: ServerConnection) -> None:
+        """Carry one call to its answer, or refuse it."""
+        call = self._classify(request)
+        if not isinstance(call, _Call):
+            retry_after_s = 0.0 if call is ResultCode.CALL_NO_ROUTE else 0.3
+            self._answer_code(connection, request, call, retry_after_s)
+            return
+        try:
+            async with asyncio.timeout_at(call.deadline_at_s + DEADLINE_SLACK_S):
+                answer = await self._find_answer(call)
+        except TimeoutError:
+            self._finish(call, connection, ResultCode.CALL_DEADLINE)
+            return
+        except asyncio.CancelledError:
+            self._note(call, "client left", 0)
+            raise
+        if answer is not None:
+            self._pass_on(call, connection, answer)
+        elif call.unknown:
+            self._finish(call, connection, ResultCode.CALL_UNKNOWN_OUTCOME)
+        else:
+            self._finish(call, connection, call.refusal_code)
+
+    # --- phase 1 ---
+
+    def _classify(self, request: HttpRequest) -> _Call | ResultCode:
+        table = self._state.table
+        if table is None:
+            return ResultCode.CALL_NOT_READY
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        host = (request.header(b"host") or b"").decode("latin-1")
+        route = table.route_of(host.partition(":")[0], path)
+        if route is None:
+            return ResultCode.CALL_NO_ROUTE
+        since_s = self._state.stopping_since_s
+        if since_s is not None and request.received_s - since_s > STOP_CALLS_S:
+            return ResultCode.CALL_LEAVING
+        names = self._state.headers
+        left_s = route.timeout_s
+        asked_ms = _positive_int(request.header(names.deadline_ms))
+        if asked_ms is not None:
+            left_s = min(left_s, asked_ms / 1000)
+        set_here = (names.deadline_ms, names.target_instance, names.caller_service)
+        headers = [x for x in forwardable(request.headers) if x[0] not in set_here]
+        headers.append((names.caller_service, self._state.service.encode()))
+        return _Call(
+            route=route,
+            service=self._shares.choose_service(route),
+            version=table.version,
+            request=request,
+            request_id=request.header(names.request_id) or b"",
+            headers=headers,
+            target_at_s=request.received_s + min(route.target_latency_s, left_s),
+            deadline_at_s=request.received_s + left_s,
+        )
+
+    # --- phases 2 to 4 ---
+
+    async def _find_answer(self, call: _Call) -> Answer | None:
+        """Return an answer to pass on, or None."""
+        budget = self._budget(call.service)
+        while True:
+            outcome = await self._offer_around(call)
+            if isinstance(outcome, Answer) and outcome.status < SERVER_ERROR:
+                return outcome
+            if isinstance(outcome, Answer):
+                call.spare = outcome
+            if not self._may_repeat(call, outcome):
+                return call.spare
+            if not budget.take(self._loop.time(), self._directory.node_count):
+                self._metrics.count("retry.budget_empty")
+                return call.spare
+            self._metrics.count("retry")
+
+    def _may_repeat(self, call: _Call, outcome: CallOutcome | None) -> bool:
+        if outcome is None:
+            return False
+        ran = not isinstance(outcome, Refusal)
+        if ran and not call.route.repeatable:
+            return False
+        if len(call.sent_to) >= call.route.max_attempts:
+            return False
+        return any(
+            view.node not in call.sent_to and not view.avoided
+            for view in self._directory.views(call.service)
+        )
+
+    async def _offer_around(self, call: _Call) -> CallOutcome | None:
+        """Offer the call until an upstream was sent it; None if none took it."""
+        for late_ok, offers in ((False, PUNCTUAL_OFFERS), (True, LATE_OFFERS)):
+            if not late_ok and self._loop.time() >= call.target_at_s:
+                continue
+            for view in self._candidates(call)[:offers]:
+                if call.deadline_at_s - self._loop.time() < MIN_LEFT_S:
+                    return None
+                outcome = await self._attempt(call, view, late_ok)
+                if not isinstance(outcome, Refusal) or outcome.reached_upstream:
+                    call.sent_to.add(view.node)
+                    return outcome
+                self._note_refusal(call, outcome)
+        return None
+
+    def _candidates(self, call: _Call) -> Sequence[UpstreamView]:
+        views = [
+            view
+            for view in self._directory.views(call.service)
+            if view.node not in call.sent_to
+        ]
+        size_bytes = self._sizes.get(call.route.name, 0.0)
+        shape = CallShape(call.route, size_bytes)
+        return self._placement.rank(shape, views, self._loop.time())
+
+    def _note_refusal(self, call: _Call, outcome: Refusal) -> None:
+        call.refusal_code = ResultCode(outcome.code)
+        if outcome.retry_after_s > 0:
+            known_s = call.retry_after_s or outcome.retry_after_s
+            call.retry_after_s = min(known_s, outcome.retry_after_s)
+
+    async def _attempt(
+        self, call: _Call, view: UpstreamView, late_ok: bool
+    ) -> CallOutcome:
+        now_s = self._loop.time()
+        if not call.sent_to:
+            self._budget(call.service).note_first(now_s)
+        request = CallRequest(
+            number=0,
+            request_id=call.request_id,
+            service=call.service,
+            route=call.route.name,
+            rank=call.route.rank,
+            repeatable=call.route.repeatable,
+            late_ok=late_ok,
+            target_left_s=call.target_at_s - now_s,
+            deadline_left_s=call.deadline_at_s - now_s,
+            method=call.request.method,
+            target=call.request.target,
+            headers=call.headers,
+            body=call.request.body,
+        )
+        view.outstanding += 1
+        try:
+            outcome = await self._directory.send(view, request)
+        finally:
+            view.outstanding -= 1
+        self._learn(call, view, outcome)
+        return outcome
+
+    def _learn(self, call: _Call, view: UpstreamView, outcome: CallOutcome) -> None:
+        now_s = self._loop.time()
+        if outcome.lost_peer:
+            view.eject(now_s)
+            log.warning("upstream can't be reached", node=view.node)
+        else:
+            view.note_load(call.route.name, outcome.load, now_s)
+        if isinstance(outcome, Failure):
+            call.unknown = True
+        elif isinstance(outcome, Refusal) and outcome.reached_upstream:
+            self._note_refusal(call, outcome)
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self._state.bounds
+            budget = RetryBudget(
+                bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window_s
+            )
+            self._budgets[service] = budget
+        return budget
+
+    # --- phase 5 ---
+
+    def _pass_on(
+        self, call: _Call, connection: ServerConnection, answer: Answer
+    ) -> None:
+        name = call.route.name
+        size = float(len(answer.body) + len(call.request.body))
+        mean = self._sizes.get(name, size)
+        self._sizes[name] = mean + SIZE_WEIGHT * (size - mean)
+        connection.answer(answer.status, answer.headers, answer.body)
+        self._note(call, "call answered", answer.status)
+
+    def _finish(
+        self, call: _Call, connection: ServerConnection, code: ResultCode
+    ) -> None:
+        retry_after_s = call.retry_after_s or NO_UPSTREAM_RETRY_S
+        self._answer_code(connection, call.request, code, retry_after_s)
+        self._note(call, "call not answered", entry_of(code).http_status)
+
+    def _answer_code(
+        self,
+        connection: ServerConnection,
+        request: HttpRequest,
+        code: ResultCode,
+        retry_after_s: float,
+    ) -> None:
+        entry = entry_of(code)
+        headers: Headers = [(b"content-type", b"application/json")]
+        request_id = request.header(self._state.headers.request_id)
+        if request_id is not None:
+            headers.append((self._state.headers.request_id, request_id))
+        if entry.http_status == 503:
+            headers.append((b"retry-after", b"%.3f" % retry_after_s))
+        body = msgspec.json.encode({"code": code.value, "name": code.name})
+        self._metrics.count(f"refused.{code.name.lower()}")
+        connection.answer(entry.http_status, headers, body)
+
+    def _note(self, call: _Call, sentence: str, status: int) -> None:
+        took_s = self._loop.time() - call.request.received_s
+        self._metrics.record_latency(call.route.name, took_s)
+        log.info(
+            sentence,
+            call=call.request_id.decode("latin-1"),
+            route=call.route.name,
+            rank=call.route.rank,
+            version=call.version,
+            service=call.service,
+            upstreams=sorted(call.sent_to),
+            status=status,
+            took_ms=round(took_s * 1000, 1),
+        )
+
+
+def _positive_int(value: bytes | None) -> int | None:
+    if value is None or not value.isdigit():
+        return None
+    return int(value)
--- /dev/null
+++ b/gypsumlock/mesh/directory.py
@@ -0,0 +1,129 @@
+"""The upstreams that a node knows of, and its connections to their nodes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+from gypsumlock.logs import Part, part_log
+from gypsumlock.mesh.link import PeerLink
+from gypsumlock.mesh.model import CallOutcome, CallRequest, UpstreamRecord
+from gypsumlock.mesh.owner import Owner
+from gypsumlock.mesh.placement import UpstreamView
+from gypsumlock.mesh.state import MeshState
+
+__all__ = ["Directory"]
+
+log = part_log(Part.MEMBERS)
+
+# Time between two looks at upstreams that are avoided.
+PROBE_INTERVAL_S = 0.25
+
+
+class Directory:
+    """Upstreams by service, built from the records that nodes publish.
+
+    Parameters
+    ----------
+    state : MeshState
+        The node's blackboard.
+    owner : Owner
+        Carries calls to the upstream beside this node.
+    """
+
+    __slots__ = ("_by_service", "_links", "_owner", "_records", "_state")
+
+    def __init__(self, state: MeshState, owner: Owner) -> None:
+        self._state = state
+        self._owner = owner
+        self._records: dict[str, UpstreamRecord] = {}
+        self._by_service: dict[str, list[UpstreamView]] = {}
+        self._links: dict[str, PeerLink] = {}
+
+    @property
+    def node_count(self) -> int:
+        """Number of nodes that are known to serve an upstream."""
+        return max(1, sum(len(views) for views in self._by_service.values()))
+
+    def views(self, service: str) -> Sequence[UpstreamView]:
+        """Return the upstreams of a service."""
+        return self._by_service.get(service, ())
+
+    def update(self, records: dict[str, UpstreamRecord]) -> None:
+        """Replace what is known of all nodes.
+
+        Parameters
+        ----------
+        records : dict[str, UpstreamRecord]
+            Records by the name of their node.
+        """
+        kept = {
+            (view.node, view.instance): view
+            for views in self._by_service.values()
+            for view in views
+        }
+        by_service: dict[str, list[UpstreamView]] = {}
+        for record in records.values():
+            if not record.serving or not record.instance:
+                continue
+            view = kept.get((record.node, record.instance))
+            if view is None:
+                view = UpstreamView(record.node, record.instance, record.zone)
+                log.info(
+                    "upstream known",
+                    node=record.node,
+                    instance=record.instance,
+                    service=record.service,
+                    zone=record.zone,
+                )
+            by_service.setdefault(record.service, []).append(view)
+        self._records = records
+        self._by_service = by_service
+        self._drop_links()
+
+    async def send(self, view: UpstreamView, request: CallRequest) -> CallOutcome:
+        """Carry a call to the node beside an upstream."""
+        if view.node == self._state.node:
+            return await self._owner.run_local_call(request)
+        return await self._link(view.node).call(request)
+
+    async def probe_avoided(self) -> None:
+        """Look again at upstreams that could not be reached, until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            now_s = loop.time()
+            for views in list(self._by_service.values()):
+                for view in views:
+                    self._read_report(view, now_s)
+                    if view.avoided and view.ejected_until_s <= now_s:
+                        await self._probe(view)
+
+    def _read_report(self, view: UpstreamView, now_s: float) -> None:
+        """Take in what the owner reported without being asked."""
+        link = self._links.get(view.node)
+        if link is not None and link.load is not None:
+            view.note_load("", link.load, now_s)
+            link.load = None
+
+    async def _probe(self, view: UpstreamView) -> None:
+        if view.node == self._state.node or await self._link(view.node).probe():
+            view.restore()
+            log.info("upstream reachable again", node=view.node)
+        else:
+            view.eject(asyncio.get_running_loop().time())
+
+    def _link(self, node: str) -> PeerLink:
+        link = self._links.get(node)
+        if link is None:
+            link = PeerLink(self._records[node].peer_address)
+            self._links[node] = link
+        return link
+
+    def _drop_links(self) -> None:
+        """Close connections to nodes that are gone or have moved."""
+        for node, link in list(self._links.items()):
+            record = self._records.get(node)
+            if record is None or record.peer_address != link.address:
+                link.close()
+                del self._links[node]
--- /dev/null
+++ b/gypsumlock/mesh/node.py
@@ -0,0 +1,111 @@
+"""Builds and runs one mesh node.
+
+Phases:
+1. Listen on all addresses.
+2. Look at the upstream beside the node; read configuration and records.
+3. Serve until a stop is requested.
+4. Stop: unready and not chosen any more at once, go on serving those who have not
+   learnt of it, refuse late comers, end when nothing is in flight.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+import anyio
+
+from gypsumlock.controller import Controller
+from gypsumlock.logs import Part, part_log
+from gypsumlock.mesh.caller import STOP_CALLS_S, Caller
+from gypsumlock.mesh.directory import Directory
+from gypsumlock.mesh.http_server import CallServer, HttpHandler
+from gypsumlock.mesh.link import LinkServer
+from gypsumlock.mesh.owner import Owner
+from gypsumlock.mesh.placement import Placement
+from gypsumlock.mesh.state import MeshState
+from gypsumlock.metrics import Metrics
+
+__all__ = ["MeshNode"]
+
+log = part_log(Part.NODE)
+
+# Time after a stop request in which clients learn that the node is not ready.
+LEARN_S = 2.4
+# Time before the end of the grace period by which the process ends.
+END_MARGIN_S = 0.3
+# Time without a call in flight after which a stopping process ends.
+QUIET_S = 0.2
+STEP_S = 0.05
+
+
+class MeshNode:
+    """All parts of one mesh node.
+
+    Parameters
+    ----------
+    state : MeshState
+        The node's blackboard.
+    """
+
+    __slots__ = ("calls", "directory", "metrics", "owner", "peers", "state")
+
+    def __init__(self, state: MeshState) -> None:
+        self.state = state
+        self.metrics = Metrics()
+        self.owner = Owner(state)
+        self.directory = Directory(state, self.owner)
+        placement = Placement(state.zone, random.Random())
+        caller = Caller(state, self.directory, placement, self.metrics)
+        self.calls = CallServer(caller)
+        self.peers = LinkServer(self.owner)
+
+    async def listen(self, readiness: HttpHandler, heartbeats: HttpHandler) -> None:
+        """Open all addresses; raises OSError if one is taken."""
+        addresses = self.state.addresses
+        await self.calls.start(addresses.calls)
+        await self.peers.start(addresses.peers)
+        await CallServer(readiness).start(addresses.readiness)
+        await CallServer(heartbeats).start(addresses.heartbeats)
+
+    async def run(
+        self, controllers: Sequence[Controller], stop_requested: asyncio.Event
+    ) -> None:
+        """Run until a stop was requested and everything in flight is answered."""
+        async with anyio.create_task_group() as tasks:
+            for controller in controllers:
+                tasks.start_soon(controller.run)
+            tasks.start_soon(self.directory.probe_avoided)
+            log.info("node started", node=self.state.node, zone=self.state.zone)
+            await stop_requested.wait()
+            await self._stop()
+            tasks.cancel_scope.cancel()
+        log.info("node stopped", node=self.state.node)
+
+    def upstream_changed(self) -> None:
+        """Pass on that the registry holds something new."""
+        self.owner.upstream_changed()
+        self.state.upstream_changed.set()
+        self.peers.report(self.owner.load())
+
+    async def _stop(self) -> None:
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        self.state.stopping_since_s = began_s
+        self.calls.closing = True
+        self.upstream_changed()
+        log.info("stop requested", in_flight=self.calls.busy())
+        await asyncio.sleep(LEARN_S)
+        end_s = began_s + self.state.bounds.grace_s - END_MARGIN_S
+        quiet_since_s = loop.time()
+        while loop.time() < end_s:
+            self.calls.close_idle()
+            now_s = loop.time()
+            if self.calls.busy() or self.owner.busy():
+                quiet_since_s = now_s
+            late = now_s - began_s > STOP_CALLS_S
+            if late and now_s - quiet_since_s > QUIET_S:
+                break
+            await asyncio.sleep(STEP_S)
+        self.calls.stop_listening()
--- /dev/null
+++ b/gypsumlock/mesh/placement.py
@@ -0,0 +1,170 @@
+"""Chooses the upstream for one attempt by its expected time to an answer.
+
+Load that this answers: upstreams of unequal speed in several availability zones,
+some of them full, slow, failing or cut off. The choice is pure: it reads what
+this node has heard of each upstream, and when.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from gypsumlock.mesh.model import OwnerLoad, RouteSpec
+
+__all__ = ["CallShape", "Placement", "UpstreamView"]
+
+# Time in which a report of load loses most of its weight, in seconds.
+LOAD_MEMORY_S = 1.0
+# Assumed service time as a share of the latency target, before any report.
+FIRST_SERVICE_SHARE = 0.3
+# Share of busy slots above which an upstream is expected to slow down.
+BUSY_SHARE = 0.7
+# Growth of the service time from that share to all slots busy.
+BUSY_SLOWDOWN = 0.5
+# Time that a call may wait longer in its own zone to keep one KiB there.
+ZONE_S_PER_KIB = 0.0033
+# Time on the way to another zone and back, in seconds.
+ZONE_ROUND_TRIP_S = 0.002
+# Calls that fail cost this share of the latency target.
+FAILURE_COST_SHARE = 2.0
+# Spread that keeps nodes from choosing the same upstream all at once.
+JITTER_SHARE = 0.1
+# Avoidance after a failed connection: first and longest, in seconds.
+FIRST_EJECTION_S = 0.5
+MAX_EJECTION_S = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class CallShape:
+    """What placing a call needs to know of it."""
+
+    route: RouteSpec
+    # Expected size of request and answer together, in bytes.
+    size_bytes: float
+
+
+@dataclass(slots=True)
+class UpstreamView:
+    """What a node has heard and seen of one upstream."""
+
+    node: str
+    instance: str
+    zone: str
+    load: OwnerLoad = OwnerLoad()
+    load_at_s: float = float("-inf")
+    # Calls of this node that the upstream has not answered yet.
+    outstanding: int = 0
+    # Value of `outstanding` at the last report.
+    outstanding_at_report: int = 0
+    # True while the upstream can't be reached as far as this node knows.
+    avoided: bool = False
+    # Monotonic time of the next look at an avoided upstream.
+    ejected_until_s: float = float("-inf")
+    ejection_s: float = FIRST_EJECTION_S
+    # Mean service time by route as the owner reports it, in seconds.
+    service_s: dict[str, float] = field(default_factory=dict)
+
+    def note_load(self, route: str, load: OwnerLoad, now_s: float) -> None:
+        """Take a report of the owner in."""
+        self.load = load
+        self.load_at_s = now_s
+        self.outstanding_at_report = self.outstanding
+        if load.service_s > 0:
+            self.service_s[route] = load.service_s
+
+    def eject(self, now_s: float) -> None:
+        """Avoid the upstream until a probe reaches it; probe later each time."""
+        self.avoided = True
+        self.ejected_until_s = now_s + self.ejection_s
+        self.ejection_s = min(MAX_EJECTION_S, 2 * self.ejection_s)
+
+    def restore(self) -> None:
+        """Note that the upstream can be reached."""
+        self.avoided = False
+        self.ejected_until_s = float("-inf")
+        self.ejection_s = FIRST_EJECTION_S
+
+    def freshness(self, now_s: float) -> float:
+        """Return how much the last report still says, from 1 down to 0."""
+        return max(0.0, 1 - (now_s - self.load_at_s) / LOAD_MEMORY_S)
+
+    def in_flight(self, now_s: float) -> float:
+        """Return the calls expected to be at the owner now."""
+        fresh = self.freshness(now_s)
+        others = max(0, self.load.in_flight - self.outstanding_at_report)
+        return self.outstanding + others * fresh
+
+
+class Placement:
+    """Compares upstreams for a call.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of this node.
+    chance : random.Random
+        Source of the jitter.
+    """
+
+    __slots__ = ("_chance", "_zone")
+
+    def __init__(self, zone: str, chance: random.Random) -> None:
+        self._zone = zone
+        self._chance = chance
+
+    def rank(
+        self, shape: CallShape, views: Sequence[UpstreamView], now_s: float
+    ) -> list[UpstreamView]:
+        """Return the upstreams worth trying, the best one first.
+
+        Upstreams that are avoided come last, and only if no other is left.
+        """
+        usual_s = _usual_service_s(shape.route, views)
+        open_views = [view for view in views if not view.avoided]
+        open_views = open_views or list(views)
+        costed = [
+            (self.cost_s(shape, view, usual_s, now_s), index)
+            for index, view in enumerate(open_views)
+        ]
+        costed.sort()
+        return [open_views[index] for _, index in costed]
+
+    def cost_s(
+        self, shape: CallShape, view: UpstreamView, usual_s: float, now_s: float
+    ) -> float:
+        """Return the expected time to an answer, with all surcharges, in seconds."""
+        route = shape.route
+        fresh = view.freshness(now_s)
+        service_s = view.service_s.get(route.name, usual_s)
+        slots = max(1, view.load.slots)
+        busy = view.in_flight(now_s) / slots
+        over = max(0.0, min(1.0, busy) - BUSY_SHARE) / (1 - BUSY_SHARE)
+        cost_s = service_s * (1 + BUSY_SLOWDOWN * over)
+        cost_s *= 1 + JITTER_SHARE * self._chance.random()
+        cost_s += max(0.0, busy - 1) * service_s
+        if view.load.wait_s:
+            index = min(route.rank, len(view.load.wait_s) - 1)
+            cost_s += view.load.wait_s[index] * fresh
+        if not view.load.accepting:
+            cost_s += route.target_latency_s * fresh
+        cost_s += (
+            FAILURE_COST_SHARE
+            * route.target_latency_s
+            * view.load.failure_share
+            * max(0.2, fresh)
+        )
+        if view.zone != self._zone:
+            cost_s += ZONE_ROUND_TRIP_S + ZONE_S_PER_KIB * shape.size_bytes / 1024
+        return cost_s
+
+
+def _usual_service_s(route: RouteSpec, views: Sequence[UpstreamView]) -> float:
+    """Return the mean service time over the upstreams that reported one."""
+    known = [
+        view.service_s[route.name] for view in views if route.name in view.service_s
+    ]
+    if not known:
+        return route.target_latency_s * FIRST_SERVICE_SHARE
+    return sum(known) / len(known)
--- /dev/null
+++ b/gypsumlock/mesh/state.py
@@ -0,0 +1,113 @@
+"""What the parts of a mesh node share: its entries are read and written by all.
+
+Invariant: the route table never moves to an older version.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from gypsumlock.mesh.model import HeaderNames, NodeAddresses
+from gypsumlock.mesh.route_table import RouteTable
+from gypsumlock.mesh.upstream_registry import UpstreamRegistry
+
+__all__ = ["MeshBounds", "MeshState"]
+
+
+class MeshBounds:
+    """Bounds that the users of the fleet set, with their units."""
+
+    __slots__ = (
+        "grace_s",
+        "retry_allowance",
+        "retry_ratio",
+        "retry_window_s",
+    )
+
+    def __init__(
+        self,
+        grace_s: float,
+        retry_ratio: float,
+        retry_allowance: float,
+        retry_window_s: float,
+    ) -> None:
+        # Time from a stop request to the end of the process.
+        self.grace_s = grace_s
+        # Repeats allowed for each first send, and besides in each window.
+        self.retry_ratio = retry_ratio
+        self.retry_allowance = retry_allowance
+        self.retry_window_s = retry_window_s
+
+
+class MeshState:
+    """Blackboard of one mesh node.
+
+    Parameters
+    ----------
+    node : str
+        Name of the node.
+    zone : str
+        Its availability zone.
+    service : str
+        Service of the upstream beside it, as the settings say.
+    addresses : NodeAddresses
+        Where it listens.
+    headers : HeaderNames
+        Names of the headers that the data path uses.
+    bounds : MeshBounds
+        Bounds that the users set.
+    """
+
+    __slots__ = (
+        "addresses",
+        "bounds",
+        "directory_known",
+        "headers",
+        "node",
+        "registry",
+        "service",
+        "stopping_since_s",
+        "table",
+        "upstream_changed",
+        "zone",
+    )
+
+    def __init__(
+        self,
+        node: str,
+        zone: str,
+        service: str,
+        addresses: NodeAddresses,
+        headers: HeaderNames,
+        bounds: MeshBounds,
+    ) -> None:
+        self.node = node
+        self.zone = zone
+        self.service = service
+        self.addresses = addresses
+        self.headers = headers
+        self.bounds = bounds
+        self.registry = UpstreamRegistry(addresses.upstream)
+        # Set whenever the node's own record has to be published again.
+        self.upstream_changed = asyncio.Event()
+        self.table: RouteTable | None = None
+        # True once the records of the other nodes were read.
+        self.directory_known = False
+        # Monotonic time of the stop request; None before it.
+        self.stopping_since_s: float | None = None
+
+    @property
+    def stopping(self) -> bool:
+        """True once the process was asked to stop."""
+        return self.stopping_since_s is not None
+
+    def ready(self) -> bool:
+        """Tell whether clients may send calls here."""
+        return self.table is not None and self.directory_known and not self.stopping
+
+    def put_in_force(self, table: RouteTable) -> bool:
+        """Replace the table as a whole; return False for one that isn't newer."""
+        if self.table is not None and table.version <= self.table.version:
+            return False
+        self.table = table
+        return True
--- a/gypsumlock/platform/__init__.py
+++ b/gypsumlock/platform/__init__.py
@@ -1,23 +1,6 @@
-"""The platform's table service and object store, and adapters for them."""
+"""Adapter to the users' platform: names, formats and calls, and no decisions.
 
-from gypsumlock.platform.http_client import HttpPlatform
-from gypsumlock.platform.memory import MemoryPlatform
-from gypsumlock.platform.services import (
-    Condition,
-    ObjectStore,
-    Platform,
-    Row,
-    TableService,
-    Write,
-)
-
-__all__ = [
-    "Condition",
-    "HttpPlatform",
-    "MemoryPlatform",
-    "ObjectStore",
-    "Platform",
-    "Row",
-    "TableService",
-    "Write",
-]
+Everything that arrives in the platform's words is decoded here, once, into types
+of `gypsumlock.mesh` and `gypsumlock.store`; nothing outside this folder knows how
+a message of the platform is spelled.
+"""
--- /dev/null
+++ b/gypsumlock/platform/names.py
@@ -0,0 +1,32 @@
+"""Paths, headers and tables of the platform."""
+
+from __future__ import annotations
+
+from gypsumlock.mesh.model import HeaderNames
+
+__all__ = [
+    "CONFIG_KEY",
+    "CONFIG_TABLE",
+    "DEREGISTER_PATH",
+    "HEADER_NAMES",
+    "HEARTBEAT_PATH",
+    "READY_PATH",
+]
+
+READY_PATH = b"/-/readyz"
+# The identifier of the upstream follows.
+HEARTBEAT_PATH = b"/-/Instances.Heartbeat/"
+DEREGISTER_PATH = b"/-/Instances.Deregister/"
+
+# Row with the operator's newest configuration.
+CONFIG_TABLE = "op"
+CONFIG_KEY = "config"
+
+HEADER_NAMES = HeaderNames(
+    request_id=b"request-id",
+    deadline_ms=b"deadline-ms",
+    target_instance=b"target-instance",
+    caller_service=b"caller-service",
+    not_executed=b"not-executed",
+    instance_id=b"instance-id",
+)
--- /dev/null
+++ b/gypsumlock/platform/settings.py
@@ -0,0 +1,134 @@
+"""Decodes the settings file that the platform gives each process.
+
+Fields that the product doesn't use are ignored, as new ones may come.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+import yaml
+from result import Err, Ok, Result
+
+from gypsumlock.mesh.model import NodeAddresses
+from gypsumlock.mesh.state import MeshBounds
+from gypsumlock.result_codes import Fault, ResultCode
+
+__all__ = ["SETTINGS_VARIABLE", "PlatformSettings", "load_settings", "parse_settings"]
+
+# Environment variable that holds the path of the settings file.
+SETTINGS_VARIABLE = "GYPSUMLOCK_CONFIG"
+
+
+class _SelfNode(msgspec.Struct, frozen=True):
+    node_name: str
+    zone: str
+    # The upstream beside the node, as `IP:port`, and its service.
+    app_addr: str
+    service: str
+
+
+class _Listen(msgspec.Struct, frozen=True):
+    # Free for the project: calls between nodes.
+    inbound: str
+    # Calls of the clients and of the upstream on the same machine.
+    outbound: str
+    ready: str
+    # Heartbeats of the upstream on the same machine.
+    control: str
+
+
+class _Network(msgspec.Struct, frozen=True):
+    listen: _Listen
+
+
+class _Store(msgspec.Struct, frozen=True):
+    address: str
+
+
+class _Platform(msgspec.Struct, frozen=True):
+    # The store stands under the same name as the table around it.
+    platform: _Store
+
+
+class _Bounds(msgspec.Struct, frozen=True):
+    grace_s: float
+    retry_ratio: float
+    # Repeats that all nodes together may send in a window, beside the ratio.
+    retry_slack: float
+    retry_window_s: float
+
+
+class _Terms(msgspec.Struct, frozen=True):
+    bounds: _Bounds
+
+
+class _File(msgspec.Struct, frozen=True):
+    self_node: _SelfNode
+    network: _Network
+    platform: _Platform
+    terms: _Terms
+
+
+class PlatformSettings(msgspec.Struct, frozen=True):
+    """What a node takes from the settings file."""
+
+    node: str
+    zone: str
+    service: str
+    addresses: NodeAddresses
+    store_address: str
+    bounds: MeshBounds
+
+
+def load_settings(path: Path) -> Result[PlatformSettings, Fault]:
+    """Read and decode a settings file."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        found = f"can't read {path}: {error}"
+        return Err(Fault(ResultCode.SETTINGS_UNREADABLE, found))
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> Result[PlatformSettings, Fault]:
+    """Decode settings given as YAML text.
+
+    Returns
+    -------
+    Result[PlatformSettings, Fault]
+        The settings, or `SETTINGS_NOT_YAML` or `SETTINGS_BAD_VALUE`.
+    """
+    try:
+        document = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        found = " ".join(str(error).split())
+        return Err(Fault(ResultCode.SETTINGS_NOT_YAML, found))
+    try:
+        file = msgspec.convert(document, _File)
+    except msgspec.ValidationError as error:
+        return Err(Fault(ResultCode.SETTINGS_BAD_VALUE, str(error)))
+    listen = file.network.listen
+    bounds = file.terms.bounds
+    return Ok(
+        PlatformSettings(
+            node=file.self_node.node_name,
+            zone=file.self_node.zone,
+            service=file.self_node.service,
+            addresses=NodeAddresses(
+                calls=listen.outbound,
+                peers=listen.inbound,
+                readiness=listen.ready,
+                heartbeats=listen.control,
+                upstream=file.self_node.app_addr,
+            ),
+            store_address=file.platform.platform.address,
+            bounds=MeshBounds(
+                grace_s=bounds.grace_s,
+                retry_ratio=bounds.retry_ratio,
+                retry_allowance=bounds.retry_slack,
+                retry_window_s=bounds.retry_window_s,
+            ),
+        )
+    )
--- /dev/null
+++ b/gypsumlock/platform/store_client.py
@@ -0,0 +1,240 @@
+"""The platform's metadata store, behind the project's `FeedStore`."""
+
+from __future__ import annotations
+
+import base64
+import socket
+from typing import TypeVar
+from urllib.parse import urlencode
+
+import anyio
+import httpcore
+import msgspec
+from result import Err, Ok, Result
+
+from gypsumlock.result_codes import Fault, ResultCode
+from gypsumlock.store.feed import FeedRow, FeedStore, TableChanges, WriteOutcome
+
+__all__ = ["PlatformStore"]
+
+T = TypeVar("T")
+_Query = dict[str, str | int]
+
+# Bound on one call beside the time that the store itself is asked to wait.
+CALL_TIMEOUT_S = 1.5
+# Rows that the store gives in one answer.
+PAGE_ROWS = 500
+# A connection that went silent is found by the kernel's probes: idle time before
+# the first one, time between two in seconds, and how many may be lost.
+KEEP_ALIVE_IDLE_S = 1
+KEEP_ALIVE_INTERVAL_S = 1
+KEEP_ALIVE_COUNT = 2
+# Time after which bytes that were sent must be acknowledged, in milliseconds.
+USER_TIMEOUT_MS = 2500
+
+SOCKET_OPTIONS = [
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_COUNT),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+]
+
+STATUS_OK = 200
+STATUS_GONE = 410
+STATUS_CONDITION_FAILED = 412
+
+
+class _Row(msgspec.Struct, frozen=True):
+    key: str
+    # Counter of the transaction that wrote the row.
+    ver: int = 0
+    # Base64.
+    value: str | None = None
+    # True for a row that was deleted.
+    removed: bool = False
+
+
+class _Rows(msgspec.Struct, frozen=True):
+    # In an answer about rows, the newest version of the whole store.
+    ver: int
+    rows: list[_Row] = []
+    # True if more rows follow.
+    truncated: bool = False
+
+
+class _Expect(msgspec.Struct, frozen=True):
+    table: str
+    part: str
+    key: str
+    ver: int
+
+
+class _Upsert(msgspec.Struct, frozen=True):
+    table: str
+    part: str
+    key: str
+    value: str
+
+
+class _Transaction(msgspec.Struct, frozen=True):
+    expect: list[_Expect]
+    upserts: list[_Upsert]
+    deletes: list[_Expect] = []
+
+
+class _Answer(msgspec.Struct, frozen=True):
+    status: int
+    body: bytes
+
+
+class PlatformStore(FeedStore):
+    """Calls the store over HTTP.
+
+    Parameters
+    ----------
+    address : str
+        Address of the store, as `IP:port`.
+    """
+
+    __slots__ = ("_base_url", "_pool")
+
+    def __init__(self, address: str) -> None:
+        self._base_url = f"http://{address}"
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=8,
+            max_keepalive_connections=4,
+            keepalive_expiry=30.0,
+            socket_options=SOCKET_OPTIONS,
+        )
+
+    async def read_table(self, table: str) -> Result[TableChanges, Fault]:
+        """Return all rows of a table, page by page."""
+        rows: list[FeedRow] = []
+        version: int | None = None
+        start = ""
+        while True:
+            query: _Query = {
+                "table": table,
+                "part": "",
+                "from": start,
+                "limit": PAGE_ROWS,
+            }
+            page = await self._read("/-/rows-get", query, 0.0)
+            if isinstance(page, Err):
+                return page
+            found = page.ok_value
+            # Later pages are newer; what changed meanwhile is read again.
+            version = found.ver if version is None else version
+            rows.extend(_feed_row(row) for row in found.rows)
+            if not found.truncated or not found.rows:
+                return Ok(TableChanges(tuple(rows), version))
+            start = found.rows[-1].key + "\0"
+
+    async def read_row(self, table: str, key: str) -> Result[FeedRow | None, Fault]:
+        """Return one row, or None when there is none."""
+        query: _Query = {"table": table, "part": "", "from": key, "limit": 1}
+        page = await self._read("/-/rows-get", query, 0.0)
+        if isinstance(page, Err):
+            return page
+        for row in page.ok_value.rows:
+            if row.key == key:
+                return Ok(_feed_row(row))
+        return Ok(None)
+
+    async def wait_changes(
+        self, table: str, after: int, wait_s: float
+    ) -> Result[TableChanges, Fault]:
+        """Wait for rows changed after a version."""
+        query: _Query = {"table": table, "after": after, "wait_ms": int(wait_s * 1000)}
+        page = await self._read("/-/rows-feed", query, wait_s)
+        if isinstance(page, Err):
+            return page
+        rows = tuple(_feed_row(row) for row in page.ok_value.rows)
+        return Ok(TableChanges(rows, page.ok_value.ver))
+
+    async def write_row(
+        self, table: str, key: str, value: bytes, expected: int
+    ) -> Result[WriteOutcome, Fault]:
+        """Write a row if its version is the expected one; 0 means no row."""
+        text = base64.b64encode(value).decode()
+        body = msgspec.json.encode(
+            _Transaction(
+                [_Expect(table, "", key, expected)], [_Upsert(table, "", key, text)]
+            )
+        )
+        answer = await self._request("POST", "/-/rows-tx", body, 0.0)
+        if isinstance(answer, Err):
+            return answer
+        status = answer.ok_value.status
+        if status not in (STATUS_OK, STATUS_CONDITION_FAILED):
+            return Err(_refused(status))
+        decoded = _decoded(answer.ok_value.body, _Rows)
+        if isinstance(decoded, Err):
+            return decoded
+        rows = decoded.ok_value.rows
+        if status == STATUS_OK:
+            return Ok(WriteOutcome(decoded.ok_value.ver))
+        current = _feed_row(rows[0]) if rows else FeedRow(key, None, 0)
+        return Ok(WriteOutcome(decoded.ok_value.ver, current))
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def _read(
+        self, path: str, query: _Query, wait_s: float
+    ) -> Result[_Rows, Fault]:
+        target = f"{path}?{urlencode(query)}"
+        answer = await self._request("GET", target, None, wait_s)
+        if isinstance(answer, Err):
+            return answer
+        status = answer.ok_value.status
+        if status == STATUS_GONE:
+            found = "the changes asked for are no longer there"
+            return Err(Fault(ResultCode.PLATFORM_HISTORY_LOST, found))
+        if status != STATUS_OK:
+            return Err(_refused(status))
+        return _decoded(answer.ok_value.body, _Rows)
+
+    async def _request(
+        self, method: str, target: str, body: bytes | None, wait_s: float
+    ) -> Result[_Answer, Fault]:
+        headers = [(b"content-type", b"application/json")]
+        try:
+            with anyio.fail_after(CALL_TIMEOUT_S + wait_s):
+                response = await self._pool.request(
+                    method, self._base_url + target, headers=headers, content=body
+                )
+        except (
+            TimeoutError,
+            OSError,
+            httpcore.TimeoutException,
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+        ) as error:
+            found = f"{method} {target}: {type(error).__name__}"
+            return Err(Fault(ResultCode.PLATFORM_UNREACHABLE, found))
+        return Ok(_Answer(response.status, response.content))
+
+
+def _feed_row(row: _Row) -> FeedRow:
+    if row.removed or row.value is None:
+        return FeedRow(row.key, None, row.ver)
+    try:
+        value = base64.b64decode(row.value)
+    except ValueError:
+        # Not a value of ours; whoever reads the row refuses what can't be decoded.
+        value = row.value.encode()
+    return FeedRow(row.key, value, row.ver)
+
+
+def _decoded(body: bytes, kind: type[T]) -> Result[T, Fault]:
+    try:
+        return Ok(msgspec.json.decode(body, type=kind))
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return Err(Fault(ResultCode.PLATFORM_BAD_ANSWER, str(error)))
+
+
+def _refused(status: int) -> Fault:
+    return Fault(ResultCode.PLATFORM_REFUSED, f"the store answered {status}")
--- a/gypsumlock/result_codes.py
+++ b/gypsumlock/result_codes.py
@@ -48,6 +48,8 @@
     PLATFORM_CONDITION_FAILED = 63
     PLATFORM_NOT_FOUND = 64
     PLATFORM_OUTCOME_UNKNOWN = 65
+    PLATFORM_HISTORY_LOST = 66
+    PLATFORM_BAD_MESSAGE = 67
 
     CALL_NO_ROUTE = 80
     CALL_NO_UPSTREAM = 81
@@ -61,6 +63,7 @@
     CALL_BAD_REQUEST = 89
     CALL_ANSWER_CUT = 90
     CALL_DISABLED = 91
+    CALL_UPSTREAM_REJECTED = 92
 
     OPERATOR_TOKEN_MISSING = 110
     OPERATOR_TOKEN_WRONG = 111
@@ -166,6 +169,18 @@
         "The write's answer was lost and can't be settled yet",
         "Repeat the same command with its operation id",
     ),
+    _entry(
+        _C.PLATFORM_HISTORY_LOST,
+        0,
+        "The store no longer has the changes asked for",
+        "Nothing: the table is read anew",
+    ),
+    _entry(
+        _C.PLATFORM_BAD_MESSAGE,
+        400,
+        "A message of the platform can't be decoded",
+        "Nothing: it is ignored; find its writer if it stays",
+    ),
     _entry(_C.CALL_NO_ROUTE, 404, "No route fits the call", "Add a route"),
     _entry(_C.CALL_NO_UPSTREAM, 503, "No known upstream", "See `upstreams`"),
     _entry(_C.CALL_NOT_READY, 503, "Node has no version in force", "See `status`"),
@@ -183,6 +198,12 @@
     _entry(_C.CALL_BAD_REQUEST, 400, "Request can't be carried", "Mend the client"),
     _entry(_C.CALL_ANSWER_CUT, 502, "The answer broke off", "Client must not use it"),
     _entry(_C.CALL_DISABLED, 503, "Refused by an exception", "See `exception list`"),
+    _entry(
+        _C.CALL_UPSTREAM_REJECTED,
+        503,
+        "The upstream rejected the call without running it",
+        "Slow down or add slots",
+    ),
     _entry(_C.OPERATOR_TOKEN_MISSING, 401, "No operator token", "Give the token"),
     _entry(_C.OPERATOR_TOKEN_WRONG, 403, "Wrong operator token", "Check the file"),
     _entry(_C.OPERATOR_NOT_FOUND, 404, "No such operator resource", "See the docs"),
--- a/gypsumlock/platform/http_client.py
+++ b/gypsumlock/store/http_client.py
@@ -17,8 +17,8 @@
 from result import Err, Ok, Result
 
 from gypsumlock import defaults
-from gypsumlock.platform.services import Condition, Platform, Row, Write
 from gypsumlock.result_codes import Fault, ResultCode
+from gypsumlock.store.services import Condition, Platform, Row, Write
 
 __all__ = ["HttpPlatform", "TransactionBody"]
 
--- a/gypsumlock/platform/memory.py
+++ b/gypsumlock/store/memory.py
@@ -7,8 +7,8 @@
 
 from result import Err, Ok, Result
 
-from gypsumlock.platform.services import Condition, Platform, Row, Write
 from gypsumlock.result_codes import Fault, ResultCode
+from gypsumlock.store.services import Condition, Platform, Row, Write
 
 __all__ = ["MemoryPlatform"]
 
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -18,10 +18,10 @@
 from result import Err
 
 from gypsumlock.http_app import listen, make_server, read_body, send_json
-from gypsumlock.platform import MemoryPlatform, Row
-from gypsumlock.platform.http_client import TransactionBody
 from gypsumlock.proxy.headers import find_header
 from gypsumlock.proxy.request import Receive, Scope, Send
+from gypsumlock.store import MemoryPlatform, Row
+from gypsumlock.store.http_client import TransactionBody
 from tests.standins.abort import abort_connection
 
 HANG_S = 3600.0
--- a/tests/test_bad_snapshots.py
+++ b/tests/test_bad_snapshots.py
@@ -16,8 +16,8 @@
     version_key,
 )
 from gypsumlock.model import Snapshot, digest_of, encode_snapshot
-from gypsumlock.platform import Condition, HttpPlatform, Write
 from gypsumlock.result_codes import ResultCode
+from gypsumlock.store import Condition, HttpPlatform, Write
 from tests.standins.fleet import Fleet, Instance, InstancePlan, load_example
 from tests.standins.processes import wait_until
 
