--- a/gypsumlock/mesh/node.py
+++ b/gypsumlock/mesh/node.py
@@ -25,6 +25,7 @@
 from gypsumlock.mesh.owner import Owner
 from gypsumlock.mesh.placement import Placement
 from gypsumlock.mesh.state import MeshState
+from gypsumlock.mesh.upstream_probe import probe_upstream
 from gypsumlock.metrics import Metrics
 
 __all__ = ["MeshNode"]
@@ -77,12 +78,20 @@
             for controller in controllers:
                 tasks.start_soon(controller.run)
             tasks.start_soon(self.directory.probe_avoided)
+            tasks.start_soon(self._recognise_upstream)
             log.info("node started", node=self.state.node, zone=self.state.zone)
             await stop_requested.wait()
             await self._stop()
             tasks.cancel_scope.cancel()
         log.info("node stopped", node=self.state.node)
 
+    async def _recognise_upstream(self) -> None:
+        """Carry on with the upstream that an earlier process stood beside."""
+        last = await self.state.restored
+        await self.state.configured.wait()
+        if await probe_upstream(self.state, last):
+            self.upstream_changed()
+
     def upstream_changed(self) -> None:
         """Pass on that the registry holds something new."""
         self.owner.upstream_changed()
--- a/gypsumlock/mesh/state.py
+++ b/gypsumlock/mesh/state.py
@@ -7,7 +7,7 @@
 
 import asyncio
 
-from gypsumlock.mesh.model import HeaderNames, NodeAddresses
+from gypsumlock.mesh.model import HeaderNames, NodeAddresses, UpstreamRecord
 from gypsumlock.mesh.route_table import RouteTable
 from gypsumlock.mesh.upstream_registry import UpstreamRegistry
 
@@ -61,10 +61,12 @@
     __slots__ = (
         "addresses",
         "bounds",
+        "configured",
         "directory_known",
         "headers",
         "node",
         "registry",
+        "restored",
         "service",
         "stopping_since_s",
         "table",
@@ -90,6 +92,12 @@
         self.registry = UpstreamRegistry(addresses.upstream)
         # Set whenever the node's own record has to be published again.
         self.upstream_changed = asyncio.Event()
+        # What an earlier process at this node published, once that was read.
+        self.restored: asyncio.Future[UpstreamRecord | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        # Set when the first version is in force.
+        self.configured = asyncio.Event()
         self.table: RouteTable | None = None
         # True once the records of the other nodes were read.
         self.directory_known = False
@@ -110,4 +118,5 @@
         if self.table is not None and table.version <= self.table.version:
             return False
         self.table = table
+        self.configured.set()
         return True
--- a/gypsumlock/mesh/watchers.py
+++ b/gypsumlock/mesh/watchers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from abc import abstractmethod
 from collections.abc import Callable
 
@@ -218,12 +217,12 @@
         self._owner = owner
         self._version = 0
         self._published: UpstreamRecord | None = None
-        # Set once the row that an earlier process left was read.
-        self.restored = asyncio.Event()
 
     async def run(self) -> None:
         """Publish each change until cancelled."""
         await self._restore()
+        # Whatever happened while the row was read has to be published too.
+        self._state.upstream_changed.set()
         backoff = Backoff(RETRY_BASE_S, RETRY_MAX_S)
         while True:
             await self._state.upstream_changed.wait()
@@ -269,7 +268,7 @@
             if self._published is not None and self._published.departed:
                 left = self._published
                 self._state.registry.restore_departed(left.instance, left.born_ms)
-        self.restored.set()
+        self._state.restored.set_result(self._published)
 
     async def _write(self, wanted: UpstreamRecord) -> bool:
         value = msgspec.json.encode(wanted)
