Bound the time to connect to the store, and test calls through mesh nodes

A connection attempt begun during the cut waited for the kernel's next SYN, with the long wait of the feed call as its only bound. Change: connecting has its own bound of 0.8 s. Ruled out: the feed's idle connection (keep-alive probes end it within 3 s).

--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -198,7 +198,7 @@
                 call.spare = outcome
             if not self._may_repeat(call, outcome):
                 return call.spare
-            if not budget.take(self._loop.time(), self._directory.node_count):
+            if not budget.take(self._loop.time(), self._directory.upstream_count):
                 self._metrics.count("retry.budget_empty")
                 return call.spare
             self._metrics.count("retry")
--- a/gypsumlock/mesh/directory.py
+++ b/gypsumlock/mesh/directory.py
@@ -41,9 +41,9 @@
         self._links: dict[str, PeerLink] = {}
 
     @property
-    def node_count(self) -> int:
-        """Number of nodes that are known to serve an upstream."""
-        return max(1, sum(len(views) for views in self._by_service.values()))
+    def upstream_count(self) -> int:
+        """Number of upstreams that serve, as far as is known."""
+        return sum(len(views) for views in self._by_service.values())
 
     def views(self, service: str) -> Sequence[UpstreamView]:
         """Return the upstreams of a service."""
--- a/gypsumlock/mesh/link.py
+++ b/gypsumlock/mesh/link.py
@@ -350,6 +350,13 @@
             lambda: InboundLink(self), host, int(port), backlog=1024, reuse_address=True
         )
 
+    def stop(self) -> None:
+        """Accept no further connections, and close those that there are."""
+        if self._server is not None:
+            self._server.close()
+        for link in list(self.links):
+            link.abort()
+
     def report(self, load: OwnerLoad) -> None:
         """Tell all callers the load of the upstream."""
         for link in list(self.links):
--- a/gypsumlock/mesh/node.py
+++ b/gypsumlock/mesh/node.py
@@ -50,7 +50,15 @@
         The node's blackboard.
     """
 
-    __slots__ = ("calls", "directory", "metrics", "owner", "peers", "state")
+    __slots__ = (
+        "calls",
+        "directory",
+        "metrics",
+        "owner",
+        "peers",
+        "side_servers",
+        "state",
+    )
 
     def __init__(self, state: MeshState) -> None:
         self.state = state
@@ -61,14 +69,25 @@
         caller = Caller(state, self.directory, placement, self.metrics)
         self.calls = CallServer(caller)
         self.peers = LinkServer(self.owner)
+        # Readiness and heartbeats.
+        self.side_servers: list[CallServer] = []
 
     async def listen(self, readiness: HttpHandler, heartbeats: HttpHandler) -> None:
         """Open all addresses; raises OSError if one is taken."""
         addresses = self.state.addresses
         await self.calls.start(addresses.calls)
         await self.peers.start(addresses.peers)
-        await CallServer(readiness).start(addresses.readiness)
-        await CallServer(heartbeats).start(addresses.heartbeats)
+        self.side_servers = [CallServer(readiness), CallServer(heartbeats)]
+        await self.side_servers[0].start(addresses.readiness)
+        await self.side_servers[1].start(addresses.heartbeats)
+
+    def close(self) -> None:
+        """Stop listening, and close every connection at once."""
+        self.peers.stop()
+        for server in (self.calls, *self.side_servers):
+            server.stop_listening()
+            for connection in list(server.connections):
+                connection.abort()
 
     async def run(
         self, controllers: Sequence[Controller], stop_requested: asyncio.Event
--- a/gypsumlock/mesh/watchers.py
+++ b/gypsumlock/mesh/watchers.py
@@ -13,7 +13,6 @@
 from gypsumlock.logs import Part, part_log
 from gypsumlock.mesh.directory import Directory
 from gypsumlock.mesh.model import MeshConfig, UpstreamRecord
-from gypsumlock.mesh.owner import Owner
 from gypsumlock.mesh.route_table import RouteTable
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.result_codes import Fault, ResultCode
@@ -211,10 +210,9 @@
     takes effect late never undoes a newer one.
     """
 
-    def __init__(self, store: FeedStore, state: MeshState, owner: Owner) -> None:
+    def __init__(self, store: FeedStore, state: MeshState) -> None:
         self._store = store
         self._state = state
-        self._owner = owner
         self._version = 0
         self._published: UpstreamRecord | None = None
 
--- a/gypsumlock/platform/daemon.py
+++ b/gypsumlock/platform/daemon.py
@@ -67,7 +67,7 @@
     controllers: list[Controller] = [
         ConfigWatcher(store, state, CONFIG_TABLE, CONFIG_KEY, decode_config),
         RecordWatcher(store, state, node.directory),
-        RecordPublisher(store, state, node.owner),
+        RecordPublisher(store, state),
         SettingsWatcher(path, state),
     ]
     stop_requested = asyncio.Event()
--- a/gypsumlock/platform/store_client.py
+++ b/gypsumlock/platform/store_client.py
@@ -22,6 +22,9 @@
 
 # Bound on one call beside the time that the store itself is asked to wait.
 CALL_TIMEOUT_S = 1.5
+# Bound on making a connection. Without it a partition that has healed is noticed
+# only by the kernel's next attempt, seconds later.
+CONNECT_TIMEOUT_S = 0.8
 # Rows that the store gives in one answer.
 PAGE_ROWS = 500
 # A connection that went silent is found by the kernel's probes: idle time before
@@ -204,7 +207,11 @@
         try:
             with anyio.fail_after(CALL_TIMEOUT_S + wait_s):
                 response = await self._pool.request(
-                    method, self._base_url + target, headers=headers, content=body
+                    method,
+                    self._base_url + target,
+                    headers=headers,
+                    content=body,
+                    extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
                 )
         except (
             TimeoutError,
--- /dev/null
+++ b/tests/standins/feed_store.py
@@ -0,0 +1,115 @@
+"""A table store in memory that can fail in the ways the real one does."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+
+from result import Err, Ok, Result
+
+from gypsumlock.result_codes import Fault, ResultCode
+from gypsumlock.store.feed import FeedRow, FeedStore, TableChanges, WriteOutcome
+
+__all__ = ["MemoryFeedStore"]
+
+
+class MemoryFeedStore(FeedStore):
+    """Keeps rows in dictionaries; the flags bring failures about."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.tables: dict[str, dict[str, FeedRow]] = defaultdict(dict)
+        self.history: list[tuple[str, FeedRow]] = []
+        # While True, every call fails and does nothing.
+        self.down = False
+        # Number of writes that are made, but whose answer is lost.
+        self.lose_answers = 0
+        # Changes up to this version are forgotten.
+        self.history_from = 0
+        self.calls = 0
+        self._changed = asyncio.Event()
+
+    def put(self, table: str, key: str, value: bytes | None) -> None:
+        """Write a row as somebody else, without a condition."""
+        self.version += 1
+        row = FeedRow(key, value, self.version)
+        if value is None:
+            self.tables[table].pop(key, None)
+        else:
+            self.tables[table][key] = row
+        self.history.append((table, row))
+        self._wake()
+
+    def forget_history(self) -> None:
+        """Drop all changes that were made so far."""
+        self.history_from = self.version
+        self._wake()
+
+    def set_down(self, down: bool) -> None:
+        """Take the store down, or bring it back."""
+        self.down = down
+        self._wake()
+
+    async def read_table(self, table: str) -> Result[TableChanges, Fault]:
+        self.calls += 1
+        if self.down:
+            return _unreachable()
+        return Ok(TableChanges(tuple(self.tables[table].values()), self.version))
+
+    async def read_row(self, table: str, key: str) -> Result[FeedRow | None, Fault]:
+        self.calls += 1
+        if self.down:
+            return _unreachable()
+        return Ok(self.tables[table].get(key))
+
+    async def wait_changes(
+        self, table: str, after: int, wait_s: float
+    ) -> Result[TableChanges, Fault]:
+        self.calls += 1
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + wait_s
+        while True:
+            if self.down:
+                return _unreachable()
+            if after < self.history_from:
+                found = "history is gone"
+                return Err(Fault(ResultCode.PLATFORM_HISTORY_LOST, found))
+            rows = tuple(
+                row
+                for name, row in self.history
+                if name == table and row.version > after
+            )
+            if rows or loop.time() >= end_s:
+                return Ok(TableChanges(rows, self.version))
+            changed = self._changed
+            try:
+                async with asyncio.timeout_at(end_s):
+                    await changed.wait()
+            except TimeoutError:
+                continue
+
+    async def write_row(
+        self, table: str, key: str, value: bytes, expected: int
+    ) -> Result[WriteOutcome, Fault]:
+        self.calls += 1
+        if self.down:
+            return _unreachable()
+        current = self.tables[table].get(key)
+        if (current.version if current else 0) != expected:
+            return Ok(WriteOutcome(self.version, current or FeedRow(key, None, 0)))
+        self.put(table, key, value)
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return _unreachable()
+        return Ok(WriteOutcome(self.version))
+
+    async def close(self) -> None:
+        """Do nothing; there are no connections."""
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+def _unreachable() -> Err[Fault]:
+    return Err(Fault(ResultCode.PLATFORM_UNREACHABLE, "the stand-in is down"))
--- /dev/null
+++ b/tests/test_mesh_calls.py
@@ -0,0 +1,332 @@
+"""Calls through mesh nodes, with upstreams that misbehave in every known way."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from gypsumlock.mesh.model import ServiceShare
+from tests.standins.mesh_fleet import ClientAnswer, MeshFleet, Place, make_config
+from tests.standins.mesh_upstream import (
+    answer_error,
+    answer_late_extra,
+    answer_twice,
+    answer_until_close,
+    answer_with_garbage,
+    reject_unexecuted,
+    reset_connection,
+    reset_until_close,
+    truncate_answer,
+)
+
+
+class MeshCase(unittest.IsolatedAsyncioTestCase):
+    """Two places of one service, in two zones, and a configuration."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = await self.enterAsyncContext(MeshFleet())
+        self.fleet.configure(make_config())
+        self.near = await self.fleet.add("n-1", zone="a")
+        self.far = await self.fleet.add("n-2", zone="b")
+        await self.fleet.settle()
+
+    def runs(self) -> int:
+        """Return how many calls reached an upstream."""
+        return len(self.near.upstream.calls) + len(self.far.upstream.calls)
+
+    def script_all(self, *behaviours: object) -> None:
+        """Tell every upstream how to treat its next calls."""
+        for place in self.fleet.places:
+            place.upstream.script.extend(behaviours)  # type: ignore[arg-type]
+
+
+class TestForwarding(MeshCase):
+    """What an upstream gets, and what a client gets."""
+
+    async def test_answer_is_passed_on_unchanged(self) -> None:
+        answer = await self.fleet.call(self.near)
+        self.assertEqual(answer.status, 200)
+        self.assertTrue(answer.body.startswith(b"to "))
+        self.assertTrue(answer.headers[b"server-seal"].startswith(b"seal-"))
+
+    async def test_call_is_passed_on_unchanged(self) -> None:
+        await self.fleet.call(
+            self.near, "/book/x?y=%20z", "POST", b"body", headers={"X-Own": "kept"}
+        )
+        seen = (self.near.upstream.calls + self.far.upstream.calls)[0]
+        self.assertEqual(seen.method, b"POST")
+        self.assertEqual(seen.target, b"/book/x?y=%20z")
+        self.assertEqual(seen.body, b"body")
+        self.assertEqual(seen.headers[b"x-own"], b"kept")
+        self.assertEqual(seen.headers[b"host"], b"a.example")
+
+    async def test_caller_service_is_set_whatever_was_sent(self) -> None:
+        await self.fleet.call(self.near, headers={"Caller-Service": "forged"})
+        seen = (self.near.upstream.calls + self.far.upstream.calls)[0]
+        self.assertEqual(seen.headers[b"caller-service"], b"finder")
+
+    async def test_deadline_is_what_is_left_of_the_shorter_bound(self) -> None:
+        await self.fleet.call(self.near, deadline_ms=900)
+        await self.fleet.call(self.near, deadline_ms=60_000)
+        calls = self.near.upstream.calls + self.far.upstream.calls
+        given = sorted(int(seen.headers[b"deadline-ms"]) for seen in calls)
+        self.assertTrue(800 <= given[0] <= 900, given)
+        self.assertTrue(1900 <= given[1] <= 2000, given)
+
+    async def test_instance_is_named(self) -> None:
+        await self.fleet.call(self.near, headers={"Target-Instance": "forged"})
+        seen = (self.near.upstream.calls + self.far.upstream.calls)[0]
+        self.assertIn(seen.headers[b"target-instance"], (b"i-n-1", b"i-n-2"))
+
+    async def test_unknown_route_is_not_found(self) -> None:
+        self.assertEqual((await self.fleet.call(self.near, "/other/")).status, 404)
+
+    async def test_answer_without_length_is_whole(self) -> None:
+        self.script_all(answer_until_close)
+        answer = await self.fleet.call(self.near)
+        self.assertEqual((answer.status, answer.body), (200, b"open end"))
+
+
+class TestMisbehaviour(MeshCase):
+    """Answers that are lost, broken, doubled or someone else's."""
+
+    async def check_lost(self, behaviour: object) -> None:
+        """A repeatable call is answered by the other upstream, another isn't run."""
+        self.near.upstream.script.append(behaviour)  # type: ignore[arg-type]
+        self.far.upstream.script.append(behaviour)  # type: ignore[arg-type]
+        answer = await self.fleet.call(self.near, "/book/x", "POST", b"b")
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(self.runs(), 1)
+        self.near.upstream.script.clear()
+        self.far.upstream.script.clear()
+        self.script_all(behaviour)
+        loser = self.near if self.far.upstream.calls else self.far
+        loser.upstream.script.clear()
+        answer = await self.fleet.call(self.near)
+        self.assertEqual(answer.status, 200)
+
+    async def test_answer_is_lost(self) -> None:
+        await self.check_lost(reset_connection)
+
+    async def test_answer_is_cut(self) -> None:
+        await self.check_lost(truncate_answer)
+
+    async def test_answer_is_no_http(self) -> None:
+        await self.check_lost(answer_with_garbage)
+
+    async def test_open_answer_is_reset(self) -> None:
+        await self.check_lost(reset_until_close)
+
+    async def test_second_answer_reaches_nobody(self) -> None:
+        self.script_all(answer_twice, answer_twice)
+        answers = [await self.fleet.call(self.near) for _ in range(6)]
+        self.assertEqual([answer.status for answer in answers], [200] * 6)
+        self.assertNotIn(b"second", [answer.body for answer in answers])
+
+    async def test_answer_of_another_call_is_passed_over(self) -> None:
+        self.script_all(answer_late_extra)
+        answer = await self.fleet.call(self.near, "/book/x", "POST", b"b")
+        self.assertEqual((answer.status, answer.body), (200, b"yours"))
+
+    async def test_failed_run_is_repeated_only_where_it_may_be(self) -> None:
+        self.script_all(answer_error)
+        answer = await self.fleet.call(self.near, "/book/x", "POST", b"b")
+        self.assertEqual((answer.status, self.runs()), (500, 1))
+
+    async def test_rejected_call_goes_on_to_another_upstream(self) -> None:
+        self.near.upstream.script.append(reject_unexecuted)
+        answer = await self.fleet.call(self.near, "/book/x", "POST", b"b")
+        self.assertEqual(answer.status, 200)
+
+    async def test_call_rejected_everywhere_is_refused_as_not_run(self) -> None:
+        self.script_all(reject_unexecuted, reject_unexecuted)
+        answer = await self.fleet.call(self.near, "/book/x", "POST", b"b")
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers[b"retry-after"]), 0.0)
+
+
+class TestTimes(MeshCase):
+    """Deadlines, timeouts, and clients that leave."""
+
+    async def test_timeout_of_the_route_is_kept(self) -> None:
+        self.fleet.configure(make_config(2, timeout_s=0.3))
+        await self.wait_version(2)
+        self.near.upstream.delay_s = self.far.upstream.delay_s = 5.0
+        answer = await self.fleet.call(self.near, deadline_ms=60_000)
+        self.assertEqual(answer.status, 504)
+        self.assertLess(answer.took_s, 0.8)
+
+    async def test_client_that_leaves_ends_a_repeatable_run(self) -> None:
+        seen = await self.leave("/search/x", "GET", b"")
+        self.assertTrue(seen.abandoned)
+
+    async def test_client_that_leaves_does_not_break_a_booking_off(self) -> None:
+        seen = await self.leave("/book/x", "POST", b"b")
+        self.assertFalse(seen.abandoned)
+
+    async def leave(self, path: str, method: str, body: bytes):  # type: ignore[no-untyped-def]
+        """Send a call, leave while it runs, and return it as it was seen."""
+        self.near.upstream.delay_s = self.far.upstream.delay_s = 0.4
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.15):
+                await self.fleet.call(self.near, path, method, body)
+        await asyncio.sleep(0.15)
+        return (self.near.upstream.calls + self.far.upstream.calls)[0]
+
+    async def wait_version(self, version: int) -> None:
+        """Wait until every node runs a version."""
+        for _ in range(300):
+            tables = [place.node.state.table for place in self.fleet.places]
+            if all(table and table.version == version for table in tables):
+                return
+            await asyncio.sleep(0.01)
+        self.fail(f"version {version} is not in force")
+
+
+class TestOverload(MeshCase):
+    """More calls than the slots take."""
+
+    async def flood(self, count: int, path: str, method: str) -> list[ClientAnswer]:
+        """Send calls at the same time; return their answers."""
+        return await asyncio.gather(
+            *(self.fleet.call(self.near, path, method) for _ in range(count))
+        )
+
+    async def test_upstream_never_runs_more_than_its_slots(self) -> None:
+        self.near.upstream.delay_s = self.far.upstream.delay_s = 0.1
+        answers = await self.flood(60, "/search/x", "GET")
+        self.assertLessEqual(self.near.upstream.most_running, 4)
+        self.assertLessEqual(self.far.upstream.most_running, 4)
+        served = [answer for answer in answers if answer.status == 200]
+        self.assertGreaterEqual(len(served), 30)
+
+    async def test_refused_calls_have_not_run(self) -> None:
+        self.near.upstream.delay_s = self.far.upstream.delay_s = 0.3
+        answers = await self.flood(60, "/book/x", "POST")
+        seen = self.near.upstream.calls + self.far.upstream.calls
+        ran = [call.headers[b"request-id"] for call in seen]
+        refused = {x.request_id for x in answers if x.status == 503}
+        self.assertGreater(len(refused), 0)
+        self.assertEqual(refused & set(ran), set())
+        self.assertEqual(len(ran), len(set(ran)))
+
+
+class TestConfiguration(MeshCase):
+    """Versions from the operator's row."""
+
+    async def test_route_without_upstream_is_refused_for_now(self) -> None:
+        self.fleet.configure(make_config(2, shares=(ServiceShare("nobody", 1.0),)))
+        await TestTimes.wait_version(self, 2)  # type: ignore[arg-type]
+        answer = await self.fleet.call(self.near)
+        self.assertEqual(answer.status, 503)
+        self.assertIn(b"retry-after", answer.headers)
+
+    async def test_older_version_is_never_taken(self) -> None:
+        self.fleet.configure(make_config(5))
+        await TestTimes.wait_version(self, 5)  # type: ignore[arg-type]
+        self.fleet.configure(make_config(4))
+        await asyncio.sleep(1.0)
+        versions = [place.node.state.table for place in self.fleet.places]
+        self.assertEqual([table and table.version for table in versions], [5, 5])
+
+    async def test_lost_history_is_read_anew(self) -> None:
+        self.fleet.store.set_down(True)
+        self.fleet.configure(make_config(8))
+        self.fleet.store.forget_history()
+        self.fleet.store.set_down(False)
+        await TestTimes.wait_version(self, 8)  # type: ignore[arg-type]
+
+    async def test_node_without_configuration_refuses(self) -> None:
+        self.fleet.store.set_down(True)
+        await self.fleet.restart(self.near)
+        await asyncio.sleep(0.1)
+        answer = await self.fleet.call(self.near)
+        self.assertEqual(answer.status, 503)
+        self.assertFalse(self.near.node.state.ready())
+
+
+class TestLeaving(MeshCase):
+    """Upstreams and nodes that leave."""
+
+    async def fill(self, count: int = 20) -> list[int]:
+        """Send calls one after the other; return their statuses."""
+        return [(await self.fleet.call(self.near)).status for _ in range(count)]
+
+    async def test_leaving_upstream_gets_nothing_more(self) -> None:
+        self.near.beat(leaving=True)
+        before = len(self.near.upstream.calls)
+        self.assertEqual(await self.fill(), [200] * 20)
+        self.assertEqual(len(self.near.upstream.calls), before)
+
+    async def test_departed_upstream_gets_nothing_after_a_restart(self) -> None:
+        self.near.depart()
+        await self.fleet.settle(upstreams=1)
+        await self.fleet.restart(self.near)
+        await self.fleet.settle(upstreams=1)
+        before = len(self.near.upstream.calls)
+        self.near.beat()
+        self.assertEqual(await self.fill(), [200] * 20)
+        self.assertEqual(len(self.near.upstream.calls), before)
+
+    async def test_crashed_upstream_is_passed_over(self) -> None:
+        self.near.upstream.stop()
+        self.assertEqual(await self.fill(), [200] * 20)
+
+    async def test_killed_node_is_passed_over(self) -> None:
+        await self.stop_hard(self.far)
+        self.assertEqual(await self.fill(), [200] * 20)
+
+    async def stop_hard(self, place: Place) -> None:
+        """End a node without a word."""
+        assert place.task is not None
+        place.task.cancel()
+        place.node.close()
+        await asyncio.sleep(0)
+
+    async def test_stop_cuts_no_call(self) -> None:
+        self.near.upstream.delay_s = self.far.upstream.delay_s = 0.2
+        calls = [
+            asyncio.create_task(self.fleet.call(self.near, "/book/x", "POST"))
+            for _ in range(8)
+        ]
+        await asyncio.sleep(0.05)
+        self.near.stop.set()
+        answers = [await call for call in calls]
+        self.assertEqual([answer.status for answer in answers], [200] * 8)
+        self.assertFalse(self.near.node.state.ready())
+        answer = await self.fleet.call(self.near)
+        self.assertEqual(answer.headers[b"connection"], b"close")
+        assert self.near.task is not None
+        async with asyncio.timeout(6.0):
+            await self.near.task
+
+
+class TestStore(MeshCase):
+    """The node's own row while the store fails."""
+
+    async def test_lost_answer_of_a_write_does_no_harm(self) -> None:
+        self.fleet.store.lose_answers = 1
+        self.near.beat(leaving=True)
+        await self.fleet.settle(upstreams=1)
+        self.near.beat(born_ms=2000)
+        await self.fleet.settle(upstreams=2)
+
+    async def test_record_is_back_within_two_seconds_of_the_store(self) -> None:
+        self.fleet.store.set_down(True)
+        await asyncio.sleep(2.0)
+        self.near.beat(leaving=True)
+        await asyncio.sleep(1.0)
+        self.fleet.store.set_down(False)
+        async with asyncio.timeout(2.0):
+            await self.fleet.settle(upstreams=1)
+
+    async def test_calls_go_on_without_the_store(self) -> None:
+        self.fleet.store.set_down(True)
+        statuses = [(await self.fleet.call(self.near)).status for _ in range(10)]
+        self.assertEqual(statuses, [200] * 10)
+
+    async def test_foreign_rows_name_no_upstream(self) -> None:
+        self.fleet.store.put("gypsumlock-nodes", "n-9", b"\xff\x00 not a record")
+        self.fleet.store.put("gypsumlock-nodes", "n-8", b'["n-7","1.2.3.4:5"]')
+        await asyncio.sleep(0.8)
+        await self.fleet.settle(upstreams=2)
