--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -190,6 +190,7 @@
     async def _find_answer(self, call: _Call) -> Answer | None:
         """Return an answer to pass on, or None."""
         budget = self._budget(call.service)
+        budget.note_first(self._loop.time())
         while True:
             outcome = await self._offer_around(call)
             if isinstance(outcome, Answer) and outcome.status < SERVER_ERROR:
@@ -251,8 +252,6 @@
         self, call: _Call, view: UpstreamView, late_ok: bool
     ) -> CallOutcome:
         now_s = self._loop.time()
-        if not call.sent_to:
-            self._budget(call.service).note_first(now_s)
         request = CallRequest(
             number=0,
             request_id=call.request_id,
--- a/tests/test_mesh_calls.py
+++ b/tests/test_mesh_calls.py
@@ -211,6 +211,21 @@
         self.assertEqual(len(ran), len(set(ran)))
 
 
+class TestRepeats(MeshCase):
+    """Repeats stay within the fleet's bound, however often owners refuse."""
+
+    async def test_refusals_of_owners_earn_no_repeats(self) -> None:
+        bounds = self.near.node.state.bounds
+        bounds.retry_allowance = 0.0
+        for place in self.fleet.places:
+            place.upstream.script.extend([reject_unexecuted] * 200)
+        count = 100
+        for _ in range(count):
+            await self.fleet.call(self.near)
+        repeats = self.runs() - count
+        self.assertLessEqual(repeats, bounds.retry_ratio * count)
+
+
 class TestConfiguration(MeshCase):
     """Versions from the operator's row."""
 
