--- a/gypsumlock/mesh/node.py
+++ b/gypsumlock/mesh/node.py
@@ -25,6 +25,7 @@
 from gypsumlock.mesh.owner import Owner
 from gypsumlock.mesh.placement import Placement
 from gypsumlock.mesh.state import MeshState
+from gypsumlock.mesh.upstream_probe import probe_upstream
 from gypsumlock.metrics import Metrics
 
 __all__ = ["MeshNode"]
@@ -49,7 +50,15 @@
         The node's blackboard.
     """
 
-    __slots__ = ("calls", "directory", "metrics", "owner", "peers", "state")
+    __slots__ = (
+        "calls",
+        "directory",
+        "metrics",
+        "owner",
+        "peers",
+        "side_servers",
+        "state",
+    )
 
     def __init__(self, state: MeshState) -> None:
         self.state = state
@@ -60,14 +69,25 @@
         caller = Caller(state, self.directory, placement, self.metrics)
         self.calls = CallServer(caller)
         self.peers = LinkServer(self.owner)
+        # Readiness and heartbeats.
+        self.side_servers: list[CallServer] = []
 
     async def listen(self, readiness: HttpHandler, heartbeats: HttpHandler) -> None:
         """Open all addresses; raises OSError if one is taken."""
         addresses = self.state.addresses
         await self.calls.start(addresses.calls)
         await self.peers.start(addresses.peers)
-        await CallServer(readiness).start(addresses.readiness)
-        await CallServer(heartbeats).start(addresses.heartbeats)
+        self.side_servers = [CallServer(readiness), CallServer(heartbeats)]
+        await self.side_servers[0].start(addresses.readiness)
+        await self.side_servers[1].start(addresses.heartbeats)
+
+    def close(self) -> None:
+        """Stop listening, and close every connection at once."""
+        self.peers.stop()
+        for server in (self.calls, *self.side_servers):
+            server.stop_listening()
+            for connection in list(server.connections):
+                connection.abort()
 
     async def run(
         self, controllers: Sequence[Controller], stop_requested: asyncio.Event
@@ -77,12 +97,20 @@
             for controller in controllers:
                 tasks.start_soon(controller.run)
             tasks.start_soon(self.directory.probe_avoided)
+            tasks.start_soon(self._recognise_upstream)
             log.info("node started", node=self.state.node, zone=self.state.zone)
             await stop_requested.wait()
             await self._stop()
             tasks.cancel_scope.cancel()
         log.info("node stopped", node=self.state.node)
 
+    async def _recognise_upstream(self) -> None:
+        """Carry on with the upstream that an earlier process stood beside."""
+        last = await self.state.restored
+        await self.state.configured.wait()
+        if await probe_upstream(self.state, last):
+            self.upstream_changed()
+
     def upstream_changed(self) -> None:
         """Pass on that the registry holds something new."""
         self.owner.upstream_changed()
--- a/gypsumlock/mesh/watchers.py
+++ b/gypsumlock/mesh/watchers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from abc import abstractmethod
 from collections.abc import Callable
 
@@ -14,7 +13,6 @@
 from gypsumlock.logs import Part, part_log
 from gypsumlock.mesh.directory import Directory
 from gypsumlock.mesh.model import MeshConfig, UpstreamRecord
-from gypsumlock.mesh.owner import Owner
 from gypsumlock.mesh.route_table import RouteTable
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.result_codes import Fault, ResultCode
@@ -212,18 +210,17 @@
     takes effect late never undoes a newer one.
     """
 
-    def __init__(self, store: FeedStore, state: MeshState, owner: Owner) -> None:
+    def __init__(self, store: FeedStore, state: MeshState) -> None:
         self._store = store
         self._state = state
-        self._owner = owner
         self._version = 0
         self._published: UpstreamRecord | None = None
-        # Set once the row that an earlier process left was read.
-        self.restored = asyncio.Event()
 
     async def run(self) -> None:
         """Publish each change until cancelled."""
         await self._restore()
+        # Whatever happened while the row was read has to be published too.
+        self._state.upstream_changed.set()
         backoff = Backoff(RETRY_BASE_S, RETRY_MAX_S)
         while True:
             await self._state.upstream_changed.wait()
@@ -269,7 +266,7 @@
             if self._published is not None and self._published.departed:
                 left = self._published
                 self._state.registry.restore_departed(left.instance, left.born_ms)
-        self.restored.set()
+        self._state.restored.set_result(self._published)
 
     async def _write(self, wanted: UpstreamRecord) -> bool:
         value = msgspec.json.encode(wanted)
