Admit with a margin, keep room for urgent calls, and refuse what waits at a stop

Changes: a stopping node asks owners to refuse what still waits; slots are kept free for the demand of more urgent classes; a call is taken on mean plus deviation; the target counts from the client's first attempt, told by its deadline; placement minimises the risk of a late answer, so that calls stay in their zone while there is time; large calls leave their zone only if no upstream serves there; the row of a restarted node stays as it is until its upstream was asked.

--- a/gypsumlock/mesh/admission.py
+++ b/gypsumlock/mesh/admission.py
@@ -5,27 +5,41 @@
 clock, and is driven by its owner.
 
 Rules:
-1. A call is taken only if it is expected to be answered by its latency target.
+1. A call is taken only if it is expected to be answered by its latency target, with
+   a margin for the spread of service times.
 2. A call that can't be, but wants a late answer, waits behind all punctual ones
    and is taken only if its deadline leaves ample room.
 3. All others are refused at once, with the time at which room is expected.
-4. Ranks go in order, within a rank the earliest target first: calls that upstreams
+4. A call leaves those slots free that more urgent calls are about to need: long
+   calls in all slots would make short urgent ones wait for the first to end.
+5. Ranks go in order, within a rank the earliest target first: calls that upstreams
    make while they hold a slot have the shortest targets. The lowest waiting rank
    gets each `FLOOR_EVERY`th slot.
 """
 
 from __future__ import annotations
 
+import math
 from bisect import insort
-from dataclasses import dataclass, field
+from collections import Counter
+from dataclasses import dataclass
 from enum import Enum
 
 __all__ = ["AdmissionQueue", "ServiceTimes", "Ticket", "TicketState", "Verdict"]
 
+# Rank and latency target of a class of calls; smaller is more urgent.
+Urgency = tuple[int, float]
+
 # Weight of the newest sample in the moving mean of service times.
 SAMPLE_WEIGHT = 0.1
 # Assumed time in the upstream before the first sample, in seconds.
 FIRST_SERVICE_S = 0.1
+# Mean deviations added to the mean time for an estimate on the safe side.
+SAFE_DEVIATIONS = 1.0
+# Time over which the demand of a class of calls is averaged, in seconds.
+DEMAND_WINDOW_S = 2.0
+# Largest share of the slots that is kept free for more urgent calls.
+MAX_RESERVED_SHARE = 0.8
 # One of so many freed slots goes to the lowest waiting rank.
 FLOOR_EVERY = 10
 # A late call is taken if its expected wait fits so many times in what is left.
@@ -52,14 +66,23 @@
 
     route: str
     rank: int
+    # Latency target of the route, in seconds.
+    target_s: float
     late_ok: bool
     target_at_s: float
     deadline_at_s: float
     state: TicketState = TicketState.WAITING
     # True once the latency target can't be met any more.
     late: bool = False
-    # Expected time in the upstream, in seconds; set when the ticket is offered.
-    service_s: float = field(default=FIRST_SERVICE_S)
+    # Expected time in the upstream, and one on the safe side, in seconds; set when
+    # the ticket is offered.
+    service_s: float = FIRST_SERVICE_S
+    safe_s: float = FIRST_SERVICE_S
+
+    @property
+    def urgency(self) -> Urgency:
+        """Return the class of the call."""
+        return (self.rank, self.target_s)
 
     def order(self) -> tuple[bool, int, float]:
         """Return the sort key; smaller ones are served first."""
@@ -76,34 +99,71 @@
 
 
 class ServiceTimes:
-    """Moving mean of the time in the upstream, by route."""
+    """Moving mean and mean deviation of the time in the upstream, by route."""
 
-    __slots__ = ("_mean_s", "overall_s")
+    __slots__ = ("_deviation_s", "_mean_s", "overall_s")
 
     def __init__(self) -> None:
         self._mean_s: dict[str, float] = {}
+        self._deviation_s: dict[str, float] = {}
         self.overall_s = FIRST_SERVICE_S
 
     def note(self, route: str, service_s: float) -> None:
         """Take one sample in."""
         mean_s = self._mean_s.get(route, service_s)
+        off_s = abs(service_s - mean_s)
+        deviation_s = self._deviation_s.get(route, off_s)
         self._mean_s[route] = mean_s + SAMPLE_WEIGHT * (service_s - mean_s)
+        self._deviation_s[route] = deviation_s + SAMPLE_WEIGHT * (off_s - deviation_s)
         self.overall_s += SAMPLE_WEIGHT * (service_s - self.overall_s)
 
     def of(self, route: str) -> float:
         """Return the expected time for a route, in seconds."""
         return self._mean_s.get(route, self.overall_s)
 
+    def safe(self, route: str) -> float:
+        """Return a time that most calls of a route don't exceed, in seconds."""
+        spread_s = SAFE_DEVIATIONS * self._deviation_s.get(route, 0.0)
+        return self.of(route) + spread_s
+
     def known(self, route: str) -> float:
         """Return the mean for a route, or 0 before its first sample."""
         return self._mean_s.get(route, 0.0)
 
 
+class Demand:
+    """Slots that each class of calls keeps busy, averaged over a short time.
+
+    A class is a rank and a latency target: the urgency of its calls.
+    """
+
+    __slots__ = ("_at_s", "_slots")
+
+    def __init__(self) -> None:
+        self._slots: dict[Urgency, float] = {}
+        self._at_s = 0.0
+
+    def note(self, urgency: Urgency, service_s: float, now_s: float) -> None:
+        """Count a call that asks for a slot."""
+        faded = math.exp((self._at_s - now_s) / DEMAND_WINDOW_S)
+        self._at_s = now_s
+        for known in self._slots:
+            self._slots[known] *= faded
+        added = service_s / DEMAND_WINDOW_S
+        self._slots[urgency] = self._slots.get(urgency, 0.0) + added
+
+    def above(self, urgency: Urgency) -> float:
+        """Return the slots that more urgent classes keep busy."""
+        return sum(slots for known, slots in self._slots.items() if known < urgency)
+
+
 class AdmissionQueue:
     """Slots of one upstream and the calls that wait for them."""
 
     __slots__ = (
+        "_demand",
         "_progress_at_s",
+        "_running",
         "_since_lowest",
         "_waiting",
         "in_flight",
@@ -118,6 +178,9 @@
         self._waiting: list[Ticket] = []
         self._since_lowest = 0
         self._progress_at_s = 0.0
+        self._demand = Demand()
+        # Calls at the upstream by class.
+        self._running: Counter[Urgency] = Counter()
 
     @property
     def waiting(self) -> int:
@@ -135,13 +198,16 @@
             Monotonic time.
         """
         ticket.service_s = self.times.of(ticket.route)
-        if self.in_flight < self.slots and not self._waiting:
-            if now_s + ticket.service_s > ticket.deadline_at_s:
-                return self._refuse(ticket, 0.0)
+        ticket.safe_s = self.times.safe(ticket.route)
+        self._demand.note(ticket.urgency, ticket.service_s, now_s)
+        if now_s + ticket.service_s > ticket.deadline_at_s:
+            return self._refuse(ticket, 0.0)
+        if self._has_slot(ticket) and not self._is_behind(ticket):
+            ticket.late = now_s + ticket.service_s > ticket.target_at_s
             self._admit(ticket, now_s)
             return Verdict(TicketState.ADMITTED)
         wait_s = self.expected_wait_s(ticket.order(), now_s)
-        end_s = now_s + wait_s + ticket.service_s
+        end_s = now_s + wait_s + ticket.safe_s
         if end_s > ticket.target_at_s:
             if not ticket.late_ok:
                 return self._refuse(ticket, end_s - ticket.target_at_s)
@@ -166,6 +232,7 @@
             Time that it took, in seconds, if it was answered.
         """
         self.in_flight -= 1
+        self._running[ticket.urgency] -= 1
         self._progress_at_s = now_s
         if service_s is not None:
             self.times.note(ticket.route, service_s)
@@ -180,7 +247,10 @@
         """Return the calls that left the queue: admitted, or dropped as hopeless."""
         left = self._drop_hopeless(now_s)
         while self._waiting and self.in_flight < self.slots:
-            ticket = self._waiting.pop(self._next_index())
+            index = self._next_index()
+            if index is None:
+                break
+            ticket = self._waiting.pop(index)
             self._admit(ticket, now_s)
             left.append(ticket)
         return left
@@ -213,6 +283,25 @@
             self._progress_at_s = now_s
         ticket.state = TicketState.ADMITTED
         self.in_flight += 1
+        self._running[ticket.urgency] += 1
+
+    def _has_slot(self, ticket: Ticket) -> bool:
+        """Tell whether a call may start without taking a more urgent one's slot."""
+        free = self.slots - self.in_flight
+        if free <= 0:
+            return False
+        expected = self._demand.above(ticket.urgency)
+        wanted = min(
+            round(expected + math.sqrt(expected)), MAX_RESERVED_SHARE * self.slots
+        )
+        running = sum(
+            count for known, count in self._running.items() if known < ticket.urgency
+        )
+        return free > wanted - running
+
+    def _is_behind(self, ticket: Ticket) -> bool:
+        """Tell whether a waiting call goes before this one."""
+        return bool(self._waiting) and self._waiting[0].order() <= ticket.order()
 
     def _refuse(self, ticket: Ticket, over_s: float) -> Verdict:
         ticket.state = TicketState.DROPPED
@@ -238,9 +327,8 @@
             insort(self._waiting, ticket, key=Ticket.order)
         return dropped
 
-    def _next_index(self) -> int:
-        """Return the place of the call that gets the next free slot."""
-        first = self._waiting[0]
+    def _next_index(self) -> int | None:
+        """Return the place of the call that gets a free slot, if any gets it."""
         lowest = max(
             range(len(self._waiting)),
             key=lambda index: (
@@ -249,11 +337,18 @@
                 -index,
             ),
         )
-        if self._waiting[lowest].rank == first.rank:
+        first = next(
+            (i for i, ticket in enumerate(self._waiting) if self._has_slot(ticket)),
+            None,
+        )
+        if (
+            first is not None
+            and self._waiting[first].rank >= self._waiting[lowest].rank
+        ):
             self._since_lowest = 0
-            return 0
+            return first
         self._since_lowest += 1
         if self._since_lowest < FLOOR_EVERY:
-            return 0
+            return first
         self._since_lowest = 0
         return lowest
--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from gypsumlock.logs import Part, part_log
+from gypsumlock.mesh.client_age import ClientAges
 from gypsumlock.mesh.directory import Directory
 from gypsumlock.mesh.http_server import HttpHandler, HttpRequest, ServerConnection
 from gypsumlock.mesh.http_text import forwardable
@@ -97,6 +98,7 @@
     """
 
     __slots__ = (
+        "_ages",
         "_budgets",
         "_directory",
         "_loop",
@@ -120,6 +122,7 @@
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
         self._shares = ShareCounter()
+        self._ages = ClientAges()
         self._budgets: dict[str, RetryBudget] = {}
         # Mean size of request and answer by route, in bytes.
         self._sizes: dict[str, float] = {}
@@ -169,7 +172,9 @@
         names = self._state.headers
         left_s = route.timeout_s
         asked_ms = _positive_int(request.header(names.deadline_ms))
+        age_s = 0.0
         if asked_ms is not None:
+            age_s = self._ages.age_s(route.name, asked_ms / 1000, request.received_s)
             left_s = min(left_s, asked_ms / 1000)
         set_here = (names.deadline_ms, names.target_instance, names.caller_service)
         headers = [x for x in forwardable(request.headers) if x[0] not in set_here]
@@ -181,7 +186,8 @@
             request=request,
             request_id=request.header(names.request_id) or b"",
             headers=headers,
-            target_at_s=request.received_s + min(route.target_latency_s, left_s),
+            target_at_s=request.received_s
+            + min(route.target_latency_s - age_s, left_s),
             deadline_at_s=request.received_s + left_s,
         )
 
@@ -223,7 +229,8 @@
             if not late_ok and self._loop.time() >= call.target_at_s:
                 continue
             for view in self._candidates(call)[:offers]:
-                if call.deadline_at_s - self._loop.time() < MIN_LEFT_S:
+                left_s = call.deadline_at_s - self._loop.time()
+                if left_s < MIN_LEFT_S or self._state.ending:
                     return None
                 outcome = await self._attempt(call, view, late_ok)
                 if not isinstance(outcome, Refusal) or outcome.reached_upstream:
@@ -259,6 +266,7 @@
             route=call.route.name,
             rank=call.route.rank,
             repeatable=call.route.repeatable,
+            target_s=call.route.target_latency_s,
             late_ok=late_ok,
             target_left_s=call.target_at_s - now_s,
             deadline_left_s=call.deadline_at_s - now_s,
@@ -278,8 +286,9 @@
     def _learn(self, call: _Call, view: UpstreamView, outcome: CallOutcome) -> None:
         now_s = self._loop.time()
         if outcome.lost_peer:
-            view.eject(now_s)
-            log.warning("upstream can't be reached", node=view.node)
+            if not view.avoided:
+                log.warning("upstream can't be reached", node=view.node)
+                view.eject(now_s)
         else:
             view.note_load(call.route.name, outcome.load, now_s)
         if isinstance(outcome, Failure):
--- a/gypsumlock/mesh/directory.py
+++ b/gypsumlock/mesh/directory.py
@@ -87,17 +87,23 @@
             return await self._owner.run_local_call(request)
         return await self._link(view.node).call(request)
 
+    def withdraw_waiting(self) -> None:
+        """Ask every owner to refuse those calls of this node that still wait."""
+        self._owner.withdraw_all()
+        for link in self._links.values():
+            link.withdraw_waiting()
+
     async def probe_avoided(self) -> None:
         """Look again at upstreams that could not be reached, until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(PROBE_INTERVAL_S)
             now_s = loop.time()
-            for views in list(self._by_service.values()):
-                for view in views:
-                    self._read_report(view, now_s)
-                    if view.avoided and view.ejected_until_s <= now_s:
-                        await self._probe(view)
+            views = [view for known in self._by_service.values() for view in known]
+            for view in views:
+                self._read_report(view, now_s)
+            due = [x for x in views if x.avoided and x.ejected_until_s <= now_s]
+            await asyncio.gather(*(self._probe(view) for view in due))
 
     def _read_report(self, view: UpstreamView, now_s: float) -> None:
         """Take in what the owner reported without being asked."""
--- a/gypsumlock/mesh/link.py
+++ b/gypsumlock/mesh/link.py
@@ -61,7 +61,23 @@
     load: OwnerLoad
 
 
-Message = CallRequest | Answer | Refusal | Failure | Cancel | Ping | Pong | LoadReport
+class Withdraw(msgspec.Struct, array_like=True, tag=9):
+    """Asks for the refusal of a call that has not reached the upstream yet."""
+
+    number: int
+
+
+Message = (
+    CallRequest
+    | Answer
+    | Refusal
+    | Failure
+    | Cancel
+    | Ping
+    | Pong
+    | LoadReport
+    | Withdraw
+)
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
@@ -215,6 +231,13 @@
         protocol.abort()
         return False
 
+    def withdraw_waiting(self) -> None:
+        """Ask for the refusal of every call that still waits for a slot."""
+        protocol = self._protocol
+        if protocol is not None:
+            for number in list(protocol.waiting):
+                protocol.send(Withdraw(number))
+
     def on_load(self, load: OwnerLoad) -> None:
         """Keep a report of load."""
         self.load = load
@@ -283,16 +306,21 @@
     async def run_call(self, request: CallRequest) -> CallOutcome:
         """Carry a call to its outcome; cancelled when its caller gives it up."""
 
+    @abstractmethod
+    def withdraw(self, request: CallRequest) -> None:
+        """Refuse a call if it still waits for a slot."""
+
 
 class InboundLink(FramedProtocol):
     """The owner's side of a connection."""
 
-    __slots__ = ("_server", "_tasks")
+    __slots__ = ("_requests", "_server", "_tasks")
 
     def __init__(self, server: LinkServer) -> None:
         super().__init__()
         self._server = server
         self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._requests: dict[int, CallRequest] = {}
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
@@ -310,10 +338,15 @@
         if isinstance(message, CallRequest):
             task = self.loop.create_task(self._run(message))
             self._tasks[message.number] = task
+            self._requests[message.number] = message
         elif isinstance(message, Cancel):
             waiting = self._tasks.get(message.number)
             if waiting is not None:
                 waiting.cancel()
+        elif isinstance(message, Withdraw):
+            request = self._requests.get(message.number)
+            if request is not None:
+                self._server.sink.withdraw(request)
         elif isinstance(message, Ping):
             self.send(Pong())
 
@@ -324,6 +357,7 @@
             self.send(outcome)
         finally:
             self._tasks.pop(request.number, None)
+            self._requests.pop(request.number, None)
 
 
 class LinkServer:
--- a/gypsumlock/mesh/model.py
+++ b/gypsumlock/mesh/model.py
@@ -168,6 +168,8 @@
     route: str
     rank: int
     repeatable: bool
+    # Latency target of the route, in seconds.
+    target_s: float
     # True when an answer after the latency target is still wanted.
     late_ok: bool
     # Time left to the latency target and to the deadline, in seconds.
--- a/gypsumlock/mesh/node.py
+++ b/gypsumlock/mesh/node.py
@@ -35,7 +35,9 @@
 # Time after a stop request in which clients learn that the node is not ready.
 LEARN_S = 2.4
 # Time before the end of the grace period by which the process ends.
-END_MARGIN_S = 0.3
+END_MARGIN_S = 0.5
+# Time before that at which calls without a slot are refused.
+WITHDRAW_S = 0.4
 # Time without a call in flight after which a stopping process ends.
 QUIET_S = 0.2
 STEP_S = 0.05
@@ -108,8 +110,9 @@
         """Carry on with the upstream that an earlier process stood beside."""
         last = await self.state.restored
         await self.state.configured.wait()
-        if await probe_upstream(self.state, last):
-            self.upstream_changed()
+        await probe_upstream(self.state, last)
+        # Either way the row in the store may now have to be corrected.
+        self.upstream_changed()
 
     def upstream_changed(self) -> None:
         """Pass on that the registry holds something new."""
@@ -132,6 +135,9 @@
             now_s = loop.time()
             if self.calls.busy() or self.owner.busy():
                 quiet_since_s = now_s
+            if now_s > end_s - WITHDRAW_S and not self.state.ending:
+                self.state.ending = True
+                self.directory.withdraw_waiting()
             late = now_s - began_s > STOP_CALLS_S
             if late and now_s - quiet_since_s > QUIET_S:
                 break
--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -65,6 +65,7 @@
         "_queue",
         "_state",
         "_sweep",
+        "_tickets",
         "_waiters",
     )
 
@@ -74,6 +75,8 @@
         self._queue = AdmissionQueue()
         self._pool = UpstreamPool(state.addresses.upstream, state.headers.request_id)
         self._waiters: dict[Ticket, asyncio.Future[None]] = {}
+        # Waiting calls by the identity of their request.
+        self._tickets: dict[int, Ticket] = {}
         self._sweep: asyncio.TimerHandle | None = None
         self._down_until_s = float("-inf")
         self._failure_share = 0.0
@@ -124,19 +127,43 @@
         ticket = Ticket(
             route=request.route,
             rank=request.rank,
+            target_s=request.target_s,
             late_ok=request.late_ok,
             target_at_s=now_s + request.target_left_s,
             deadline_at_s=now_s + request.deadline_left_s,
         )
         verdict = self._queue.offer(ticket, now_s)
         if verdict.state is TicketState.WAITING:
-            verdict = await self._wait(ticket)
+            self._tickets[id(request)] = ticket
+            try:
+                verdict = await self._wait(ticket)
+            finally:
+                del self._tickets[id(request)]
         if verdict.state is TicketState.DROPPED:
             return self._refuse(
                 request, ResultCode.CALL_OVERLOADED, verdict.retry_after_s
             )
         return await self._carry(request, ticket)
 
+    def withdraw(self, request: CallRequest) -> None:
+        """Refuse a call if it still waits for a slot."""
+        ticket = self._tickets.get(id(request))
+        if ticket is not None:
+            self._drop(ticket)
+
+    def withdraw_all(self) -> None:
+        """Refuse every call that still waits for a slot."""
+        for ticket in list(self._tickets.values()):
+            self._drop(ticket)
+
+    def _drop(self, ticket: Ticket) -> None:
+        if ticket.state is not TicketState.WAITING:
+            return
+        self._queue.withdraw(ticket)
+        waiter = self._waiters.get(ticket)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
     # --- waiting for a slot ---
 
     async def _wait(self, ticket: Ticket) -> Verdict:
--- a/gypsumlock/mesh/placement.py
+++ b/gypsumlock/mesh/placement.py
@@ -24,15 +24,25 @@
 # Growth of the service time from that share to all slots busy.
 BUSY_SLOWDOWN = 0.5
 # Time that a call may wait longer in its own zone to keep one KiB there.
-ZONE_S_PER_KIB = 0.0033
+ZONE_S_PER_KIB = 0.006
+# Calls of at least this size leave their zone only if no upstream serves there.
+ZONE_BOUND_BYTES = 65_536
+# Growth of the risk of a late answer with the expected share of the target.
+RISK_EXPONENT = 4
+# Growth of the cost past the target.
+LATE_SLOPE = 4.0
 # Time on the way to another zone and back, in seconds.
 ZONE_ROUND_TRIP_S = 0.002
-# Calls that fail cost this share of the latency target.
-FAILURE_COST_SHARE = 2.0
+# Cost of a call that fails, and of one that is surely refused, as a share of the
+# latency target.
+FAILURE_COST_SHARE = 3.0
+REFUSAL_COST_SHARE = 10.0
+# Share of failed calls from which an upstream no longer serves.
+FAILING_SHARE = 0.3
 # Spread that keeps nodes from choosing the same upstream all at once.
 JITTER_SHARE = 0.1
 # Avoidance after a failed connection: first and longest, in seconds.
-FIRST_EJECTION_S = 0.5
+FIRST_EJECTION_S = 0.25
 MAX_EJECTION_S = 4.0
 
 
@@ -124,6 +134,7 @@
         usual_s = _usual_service_s(shape.route, views)
         open_views = [view for view in views if not view.avoided]
         open_views = open_views or list(views)
+        open_views = list(self._within_zone(shape, open_views, now_s))
         costed = [
             (self.cost_s(shape, view, usual_s, now_s), index)
             for index, view in enumerate(open_views)
@@ -134,30 +145,61 @@
     def cost_s(
         self, shape: CallShape, view: UpstreamView, usual_s: float, now_s: float
     ) -> float:
-        """Return the expected time to an answer, with all surcharges, in seconds."""
+        """Return the cost of a choice, in seconds of the latency target.
+
+        An answer well within the target is as good as a faster one, so the cost is
+        the risk of a late answer, and what the way to another zone costs.
+        """
+        target_s = route_target_s(shape.route)
+        share = self._expected_s(shape, view, usual_s, now_s) / target_s
+        share *= 1 + JITTER_SHARE * self._chance.random()
+        if share <= 1:
+            cost_s = target_s * share**RISK_EXPONENT
+        else:
+            cost_s = target_s * (1 + LATE_SLOPE * (share - 1))
+        if not view.load.accepting:
+            cost_s += REFUSAL_COST_SHARE * target_s * view.freshness(now_s)
+        fresh = max(0.2, view.freshness(now_s))
+        cost_s += FAILURE_COST_SHARE * target_s * view.load.failure_share * fresh
+        if view.zone != self._zone:
+            cost_s += ZONE_S_PER_KIB * shape.size_bytes / 1024
+        return cost_s
+
+    def _expected_s(
+        self, shape: CallShape, view: UpstreamView, usual_s: float, now_s: float
+    ) -> float:
+        """Return the expected time to an answer, in seconds."""
         route = shape.route
-        fresh = view.freshness(now_s)
         service_s = view.service_s.get(route.name, usual_s)
-        slots = max(1, view.load.slots)
-        busy = view.in_flight(now_s) / slots
+        busy = view.in_flight(now_s) / max(1, view.load.slots)
         over = max(0.0, min(1.0, busy) - BUSY_SHARE) / (1 - BUSY_SHARE)
-        cost_s = service_s * (1 + BUSY_SLOWDOWN * over)
-        cost_s *= 1 + JITTER_SHARE * self._chance.random()
-        cost_s += max(0.0, busy - 1) * service_s
+        expected_s = service_s * (1 + BUSY_SLOWDOWN * over + max(0.0, busy - 1))
         if view.load.wait_s:
             index = min(route.rank, len(view.load.wait_s) - 1)
-            cost_s += view.load.wait_s[index] * fresh
-        if not view.load.accepting:
-            cost_s += route.target_latency_s * fresh
-        cost_s += (
-            FAILURE_COST_SHARE
-            * route.target_latency_s
-            * view.load.failure_share
-            * max(0.2, fresh)
-        )
+            expected_s += view.load.wait_s[index] * view.freshness(now_s)
         if view.zone != self._zone:
-            cost_s += ZONE_ROUND_TRIP_S + ZONE_S_PER_KIB * shape.size_bytes / 1024
-        return cost_s
+            expected_s += ZONE_ROUND_TRIP_S
+        return expected_s
+
+    def _within_zone(
+        self, shape: CallShape, views: Sequence[UpstreamView], now_s: float
+    ) -> Sequence[UpstreamView]:
+        """Return the upstreams that a large call may go to."""
+        if shape.size_bytes < ZONE_BOUND_BYTES:
+            return views
+        near = [
+            view
+            for view in views
+            if view.zone == self._zone
+            and view.load.failure_share < FAILING_SHARE
+            and (view.load.accepting or view.freshness(now_s) == 0)
+        ]
+        return near or views
+
+
+def route_target_s(route: RouteSpec) -> float:
+    """Return the latency target of a route, never zero."""
+    return max(route.target_latency_s, 0.001)
 
 
 def _usual_service_s(route: RouteSpec, views: Sequence[UpstreamView]) -> float:
--- a/gypsumlock/mesh/retry_budget.py
+++ b/gypsumlock/mesh/retry_budget.py
@@ -13,7 +13,7 @@
 
 # Part of the fleet's bound that is used. The rest is for repeats that a node
 # can't see: calls that a repeated run makes again.
-USED_SHARE = 0.5
+USED_SHARE = 0.7
 
 
 class RetryBudget:
--- a/gypsumlock/mesh/state.py
+++ b/gypsumlock/mesh/state.py
@@ -63,6 +63,7 @@
         "bounds",
         "configured",
         "directory_known",
+        "ending",
         "headers",
         "node",
         "registry",
@@ -103,6 +104,8 @@
         self.directory_known = False
         # Monotonic time of the stop request; None before it.
         self.stopping_since_s: float | None = None
+        # True once a stopping process offers no call to anybody any more.
+        self.ending = False
 
     @property
     def stopping(self) -> bool:
--- a/gypsumlock/mesh/watchers.py
+++ b/gypsumlock/mesh/watchers.py
@@ -219,8 +219,6 @@
     async def run(self) -> None:
         """Publish each change until cancelled."""
         await self._restore()
-        # Whatever happened while the row was read has to be published too.
-        self._state.upstream_changed.set()
         backoff = Backoff(RETRY_BASE_S, RETRY_MAX_S)
         while True:
             await self._state.upstream_changed.wait()
--- a/tests/test_mesh_admission.py
+++ b/tests/test_mesh_admission.py
@@ -22,6 +22,7 @@
     return Ticket(
         route=f"rank-{rank}",
         rank=rank,
+        target_s=target_s,
         late_ok=late_ok,
         target_at_s=now_s + target_s,
         deadline_at_s=now_s + deadline_s,
--- a/tests/test_mesh_calls.py
+++ b/tests/test_mesh_calls.py
@@ -315,6 +315,27 @@
         async with asyncio.timeout(6.0):
             await self.near.task
 
+    async def test_stop_refuses_calls_that_never_got_a_slot(self) -> None:
+        self.fleet.configure(make_config(2, timeout_s=20.0, target_latency_s=15.0))
+        await TestTimes.wait_version(self, 2)  # type: ignore[arg-type]
+        self.near.upstream.delay_s = self.far.upstream.delay_s = 4.0
+        calls = [
+            asyncio.create_task(
+                self.fleet.call(self.near, "/book/x", "POST", deadline_ms=20_000)
+            )
+            for _ in range(24)
+        ]
+        await asyncio.sleep(0.2)
+        self.near.stop.set()
+        answers = await asyncio.gather(*calls)
+        seen = self.near.upstream.calls + self.far.upstream.calls
+        ran = {call.headers[b"request-id"] for call in seen}
+        refused = [answer for answer in answers if answer.status == 503]
+        self.assertGreater(len(refused), 0)
+        self.assertEqual({answer.request_id for answer in refused} & ran, set())
+        longest_s = max(answer.took_s for answer in refused)
+        self.assertLess(longest_s, self.near.node.state.bounds.grace_s)
+
 
 class TestStore(MeshCase):
     """The node's own row while the store fails."""
