--- a/gypsumlock/cli/commands.py
+++ b/gypsumlock/cli/commands.py
@@ -20,6 +20,7 @@
 
 from gypsumlock import messages
 from gypsumlock.cli.client import OperatorClient
+from gypsumlock.cli.explain import find_steps, read_lines
 from gypsumlock.distribution import HistoryEntry
 from gypsumlock.model import Defaults, Overrides, Selector
 from gypsumlock.model.diff import Difference
@@ -45,6 +46,7 @@
     "add_exception",
     "check_settings",
     "edit_exception",
+    "explain_call",
     "list_exceptions",
     "list_upstreams",
     "load_defaults",
@@ -245,6 +247,18 @@
     return Outcome(SettingsReport(arguments.file))
 
 
+def explain_call(arguments: argparse.Namespace) -> Outcome:
+    """Tell the way of one call from log lines."""
+    try:
+        steps = find_steps(read_lines(arguments.files), arguments.call)
+    except OSError as error:
+        return Outcome(None, (Fault(ResultCode.LOGS_UNREADABLE, str(error)),))
+    if not steps:
+        found = f"no line concerns call {arguments.call}"
+        return Outcome(None, (Fault(ResultCode.CALL_NOT_IN_LOGS, found),))
+    return Outcome(steps)
+
+
 def _ask(arguments: argparse.Namespace, path: str, kind: Any) -> Outcome:
     return _outcome(_client(arguments).and_then(lambda client: client.get(path, kind)))
 
--- a/gypsumlock/cli/parser.py
+++ b/gypsumlock/cli/parser.py
@@ -44,6 +44,7 @@
     _add_queries(verbs)
     _add_restore(verbs)
     _add_settings(verbs)
+    _add_explain(verbs)
     return parser
 
 
@@ -135,6 +136,15 @@
     check.set_defaults(run=commands.check_settings)
 
 
+def _add_explain(verbs: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    explain = verbs.add_parser("explain", help="tell the way of a call from logs")
+    explain.add_argument("call", help="identifier of the call")
+    explain.add_argument(
+        "files", nargs="*", default=["-"], help="log files; - is standard input"
+    )
+    explain.set_defaults(run=commands.explain_call)
+
+
 def _add_change_options(
     parser: argparse.ArgumentParser, reason_required: bool = False
 ) -> None:
--- a/gypsumlock/cli/render.py
+++ b/gypsumlock/cli/render.py
@@ -12,6 +12,7 @@
 
 from gypsumlock import messages
 from gypsumlock.cli.commands import Outcome, SettingsReport
+from gypsumlock.cli.explain import CallStep
 from gypsumlock.distribution import HistoryEntry
 from gypsumlock.model.diff import Difference
 from gypsumlock.operator.messages import (
@@ -60,6 +61,12 @@
     yield _as_yaml(value)
 
 
+@_lines.register
+def _(value: CallStep) -> Iterator[str]:
+    shown = " ".join(f"{name}={field}" for name, field in value.fields.items())
+    yield f"{value.time} {value.node} {value.part}: {value.message} {shown}"
+
+
 @_lines.register
 def _(value: list) -> Iterator[str]:  # type: ignore[type-arg]
     for item in value:
--- a/gypsumlock/logs.py
+++ b/gypsumlock/logs.py
@@ -7,18 +7,20 @@
 from __future__ import annotations
 
 import sys
+import time
 from enum import StrEnum
 from typing import TYPE_CHECKING, Final
 
 import msgspec
 from loguru import logger
 
+from gypsumlock.bounded_sink import BoundedSink, LineBudget
 from gypsumlock.options import LogOptions
 
 if TYPE_CHECKING:
     from loguru import Message, Record
 
-__all__ = ["Part", "PartLog", "configure_logs", "part_log"]
+__all__ = ["Part", "PartLog", "configure_bounded_logs", "configure_logs", "part_log"]
 
 
 class Part(StrEnum):
@@ -35,6 +37,9 @@
     UPSTREAM = "upstream"
 
 
+# Numeric level of loguru from which a line is a warning.
+WARNING_LEVEL: Final = 30
+
 _JSON: Final = msgspec.json.Encoder(enc_hook=str)
 
 
@@ -78,6 +83,28 @@
         logger.add(sys.stderr, level=options.level, format=_text_format)
 
 
+def configure_bounded_logs(node: str, level: str = "INFO") -> None:
+    """Send log lines as JSON to standard output, bounded and without waiting.
+
+    Parameters
+    ----------
+    node : str
+        Name of the node, told in each line.
+    level : str
+        Lowest level that is written.
+    """
+    sink = BoundedSink(sys.stdout.fileno(), time.monotonic, LineBudget())
+
+    def write(message: Message) -> None:
+        line = _json_line(message.record)
+        line["node"] = node
+        warning = message.record["level"].no >= WARNING_LEVEL
+        sink.write(str(line["part"]), warning, line)
+
+    logger.remove()
+    logger.add(write, level=level, format="{message}")
+
+
 def _text_format(record: Record) -> str:
     fields = record["extra"].get("fields", {})
     shown = "".join(f" {name}={value}" for name, value in fields.items())
@@ -89,13 +116,15 @@
     )
 
 
-def _write_json(message: Message) -> None:
-    record = message.record
-    line = {
+def _json_line(record: Record) -> dict[str, object]:
+    return {
         "time": record["time"].isoformat(),
         "level": record["level"].name,
         "part": record["extra"].get("part", Part.NODE.value),
         "message": record["message"],
         "fields": record["extra"].get("fields", {}),
     }
-    sys.stderr.write(_JSON.encode(line).decode() + "\n")
+
+
+def _write_json(message: Message) -> None:
+    sys.stderr.write(_JSON.encode(_json_line(message.record)).decode() + "\n")
--- a/gypsumlock/mesh/admission.py
+++ b/gypsumlock/mesh/admission.py
@@ -74,6 +74,7 @@
     state: TicketState = TicketState.WAITING
     # True once the latency target can't be met any more.
     late: bool = False
+    offered_at_s: float = 0.0
     # Expected time in the upstream, and one on the safe side, in seconds; set when
     # the ticket is offered.
     service_s: float = FIRST_SERVICE_S
@@ -197,6 +198,7 @@
         now_s : float
             Monotonic time.
         """
+        ticket.offered_at_s = now_s
         ticket.service_s = self.times.of(ticket.route)
         ticket.safe_s = self.times.safe(ticket.route)
         self._demand.note(ticket.urgency, ticket.service_s, now_s)
--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -58,6 +58,8 @@
 # Weight of the newest sample in the mean size of a route's calls.
 SIZE_WEIGHT = 0.1
 SERVER_ERROR = 500
+# Age of a report of load from which it says nothing, in seconds.
+MAX_LOGGED_AGE_S = 999.0
 
 
 @dataclass(slots=True)
@@ -275,12 +277,26 @@
             headers=call.headers,
             body=call.request.body,
         )
+        load_age_s = now_s - view.load_at_s
+        in_flight = view.in_flight(now_s)
         view.outstanding += 1
         try:
             outcome = await self._directory.send(view, request)
         finally:
             view.outstanding -= 1
         self._learn(call, view, outcome)
+        log.info(
+            "call offered",
+            call=call.request_id.decode("latin-1"),
+            upstream=view.node,
+            zone=view.zone,
+            load_age_s=round(min(load_age_s, MAX_LOGGED_AGE_S), 3),
+            in_flight=round(in_flight, 1),
+            late_ok=late_ok,
+            target_left_s=round(request.target_left_s, 3),
+            outcome=type(outcome).__name__.lower(),
+            code=0 if isinstance(outcome, Answer) else outcome.code,
+        )
         return outcome
 
     def _learn(self, call: _Call, view: UpstreamView, outcome: CallOutcome) -> None:
--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -228,6 +228,18 @@
                 service_s = self._loop.time() - began_s
         finally:
             self._free(ticket, service_s)
+        log.info(
+            "call carried",
+            call=request.request_id.decode("latin-1"),
+            route=request.route,
+            rank=request.rank,
+            wait_s=round(began_s - ticket.offered_at_s, 4),
+            late=ticket.late,
+            took_s=round(self._loop.time() - began_s, 4),
+            in_flight=self._queue.in_flight,
+            waiting=self._queue.waiting,
+            outcome=type(outcome).__name__.lower(),
+        )
         if isinstance(outcome, Answer):
             # Only now does the load leave this call out.
             outcome.load = self.load(request.route)
--- a/gypsumlock/platform/daemon.py
+++ b/gypsumlock/platform/daemon.py
@@ -16,11 +16,10 @@
 from result import Err
 
 from gypsumlock.controller import Controller
-from gypsumlock.logs import Part, configure_logs, part_log
+from gypsumlock.logs import Part, configure_bounded_logs, part_log
 from gypsumlock.mesh.node import MeshNode
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.mesh.watchers import ConfigWatcher, RecordPublisher, RecordWatcher
-from gypsumlock.options import LogOptions
 from gypsumlock.platform.config import decode_config
 from gypsumlock.platform.endpoints import HeartbeatHandler, ReadinessHandler
 from gypsumlock.platform.names import CONFIG_KEY, CONFIG_TABLE, HEADER_NAMES
@@ -47,7 +46,7 @@
     if isinstance(settings, Err):
         print(f"gypsumlock: {settings.err_value.text()}", file=sys.stderr)
         return settings.err_value.code.value
-    configure_logs(LogOptions(format="json"))
+    configure_bounded_logs(settings.ok_value.node)
     return anyio.run(
         _serve, path, settings.ok_value, backend_options={"use_uvloop": True}
     )
--- a/gypsumlock/result_codes.py
+++ b/gypsumlock/result_codes.py
@@ -72,6 +72,8 @@
     OPERATOR_BODY_TOO_LARGE = 114
     OPERATOR_UNREACHABLE = 115
     NOT_CONVERGED = 116
+    LOGS_UNREADABLE = 117
+    CALL_NOT_IN_LOGS = 118
 
     SNAPSHOT_DIGEST_MISMATCH = 130
     SNAPSHOT_UNDECODABLE = 131
@@ -211,6 +213,13 @@
     _entry(_C.OPERATOR_BODY_TOO_LARGE, 413, "Body too large", "Send less"),
     _entry(_C.OPERATOR_UNREACHABLE, 0, "Node can't be reached", "Check the address"),
     _entry(_C.NOT_CONVERGED, 200, "Some nodes lack the version", "Read the list"),
+    _entry(_C.LOGS_UNREADABLE, 0, "A log file can't be read", "Check the path"),
+    _entry(
+        _C.CALL_NOT_IN_LOGS,
+        0,
+        "No log line concerns the call",
+        "Give the logs of all nodes, of the time of the call",
+    ),
     _entry(_C.SNAPSHOT_DIGEST_MISMATCH, 0, "Snapshot is corrupt", "Check the store"),
     _entry(_C.SNAPSHOT_UNDECODABLE, 0, "Snapshot can't be decoded", "Upgrade node"),
     _entry(_C.SNAPSHOT_INVALID, 0, "Snapshot does not compile", "Upgrade the node"),
