--- a/gypsumlock/mesh/admission.py
+++ b/gypsumlock/mesh/admission.py
@@ -35,7 +35,7 @@
 # Assumed time in the upstream before the first sample, in seconds.
 FIRST_SERVICE_S = 0.1
 # Mean deviations added to the mean time for an estimate on the safe side.
-SAFE_DEVIATIONS = 1.0
+SAFE_DEVIATIONS = 2.0
 # Time over which the demand of a class of calls is averaged, in seconds.
 DEMAND_WINDOW_S = 2.0
 # Largest share of the slots that is kept free for more urgent calls.
@@ -315,11 +315,10 @@
         demoted: list[Ticket] = []
         kept: list[Ticket] = []
         for ticket in self._waiting:
-            end_s = now_s + ticket.service_s
-            if end_s > ticket.deadline_at_s:
+            if now_s + ticket.service_s > ticket.deadline_at_s:
                 ticket.state = TicketState.DROPPED
                 dropped.append(ticket)
-            elif end_s > ticket.target_at_s and not ticket.late:
+            elif now_s + ticket.safe_s > ticket.target_at_s and not ticket.late:
                 ticket.late = True
                 demoted.append(ticket)
             else:
