--- a/gypsumlock/mesh/directory.py
+++ b/gypsumlock/mesh/directory.py
@@ -84,7 +84,7 @@
     async def send(self, view: UpstreamView, request: CallRequest) -> CallOutcome:
         """Carry a call to the node beside an upstream."""
         if view.node == self._state.node:
-            return await self._owner.run_local_call(request)
+            return await self._owner.run_call(request)
         return await self._link(view.node).call(request)
 
     def withdraw_waiting(self) -> None:
--- a/gypsumlock/mesh/link.py
+++ b/gypsumlock/mesh/link.py
@@ -5,8 +5,9 @@
 with msgspec as their codec.
 
 A connection that went silent is found by a ping: whoever waits for an answer and
-hears nothing for `PING_AFTER_S` asks, and gives the connection up after
-`SILENCE_S`. A call that was sent on it may have run.
+hears nothing for `PING_AFTER_S` asks. After `SUSPECT_S` the calls that may run twice
+are given up, so that they can be sent elsewhere; after `SILENCE_S` the connection is,
+and with it all others, which may have run.
 """
 
 from __future__ import annotations
@@ -33,9 +34,10 @@
 __all__ = ["CallSink", "InboundLink", "LinkServer", "PeerLink"]
 
 CONNECT_TIMEOUT_S = 0.4
-PING_AFTER_S = 0.3
-SILENCE_S = 0.9
-TICK_S = 0.15
+PING_AFTER_S = 0.15
+SUSPECT_S = 0.45
+SILENCE_S = 1.0
+TICK_S = 0.1
 PROBE_STEP_S = 0.02
 MAX_FRAME_BYTES = 134_217_728
 _LENGTH = struct.Struct(">I")
@@ -141,6 +143,21 @@
         """Handle one message."""
 
 
+class _Waiting:
+    """A call that waits for its outcome."""
+
+    __slots__ = ("future", "repeatable")
+
+    def __init__(self, future: asyncio.Future[CallOutcome], repeatable: bool) -> None:
+        self.future = future
+        self.repeatable = repeatable
+
+    def settle(self, outcome: CallOutcome) -> None:
+        """Hand the outcome over, unless the caller has left."""
+        if not self.future.done():
+            self.future.set_result(outcome)
+
+
 class _ClientProtocol(FramedProtocol):
     """The calling side of a connection."""
 
@@ -149,23 +166,30 @@
     def __init__(self, link: PeerLink) -> None:
         super().__init__()
         self._link = link
-        self.waiting: dict[int, asyncio.Future[CallOutcome]] = {}
+        self.waiting: dict[int, _Waiting] = {}
         self.pinged_at_s = 0.0
 
     def handle_message(self, message: Message) -> None:
         """Give an answer to the call that waits for it."""
         if isinstance(message, Answer | Refusal | Failure):
-            future = self.waiting.pop(message.number, None)
-            if future is not None and not future.done():
-                future.set_result(message)
+            waiting = self.waiting.pop(message.number, None)
+            if waiting is not None:
+                waiting.settle(message)
         elif isinstance(message, LoadReport):
             self._link.on_load(message.load)
 
+    def give_up_repeatable(self) -> None:
+        """Fail the calls that may be sent elsewhere."""
+        for number, waiting in list(self.waiting.items()):
+            if waiting.repeatable:
+                del self.waiting[number]
+                self.send(Cancel(number))
+                waiting.settle(failure(ResultCode.CALL_UNKNOWN_OUTCOME))
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail every call that waits: each of them may have run."""
-        for future in self.waiting.values():
-            if not future.done():
-                future.set_result(failure(ResultCode.CALL_UNKNOWN_OUTCOME))
+        for waiting in self.waiting.values():
+            waiting.settle(failure(ResultCode.CALL_UNKNOWN_OUTCOME))
         self.waiting.clear()
         self._link.drop(self)
 
@@ -205,7 +229,7 @@
         if not protocol.waiting:
             # Silence counts from when somebody began to wait.
             protocol.heard_at_s = protocol.loop.time()
-        protocol.waiting[number] = future
+        protocol.waiting[number] = _Waiting(future, request.repeatable)
         if not protocol.send(request):
             protocol.waiting.pop(number, None)
             return refusal(ResultCode.CALL_UPSTREAM_UNREACHABLE)
@@ -293,6 +317,8 @@
         if silent_s > SILENCE_S:
             protocol.abort()
             return
+        if silent_s > SUSPECT_S:
+            protocol.give_up_repeatable()
         if silent_s > PING_AFTER_S and now_s - protocol.pinged_at_s > PING_AFTER_S:
             protocol.pinged_at_s = now_s
             protocol.send(Ping())
--- a/gypsumlock/mesh/node.py
+++ b/gypsumlock/mesh/node.py
@@ -22,7 +22,7 @@
 from gypsumlock.mesh.directory import Directory
 from gypsumlock.mesh.http_server import CallServer, HttpHandler
 from gypsumlock.mesh.link import LinkServer
-from gypsumlock.mesh.owner import Owner
+from gypsumlock.mesh.owner import STOP_PEERS_S, Owner
 from gypsumlock.mesh.placement import Placement
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.mesh.upstream_probe import probe_upstream
@@ -35,7 +35,7 @@
 # Time after a stop request in which clients learn that the node is not ready.
 LEARN_S = 2.4
 # Time before the end of the grace period by which the process ends.
-END_MARGIN_S = 0.5
+END_MARGIN_S = 0.6
 # Time before that at which calls without a slot are refused.
 WITHDRAW_S = 0.4
 # Time without a call in flight after which a stopping process ends.
@@ -127,7 +127,10 @@
         self.calls.closing = True
         self.upstream_changed()
         log.info("stop requested", in_flight=self.calls.busy())
-        await asyncio.sleep(LEARN_S)
+        await asyncio.sleep(STOP_PEERS_S)
+        # Whoever still waits here can have a slot elsewhere, but not here in time.
+        self.owner.withdraw_all()
+        await asyncio.sleep(LEARN_S - STOP_PEERS_S)
         end_s = began_s + self.state.bounds.grace_s - END_MARGIN_S
         quiet_since_s = loop.time()
         while loop.time() < end_s:
--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -39,8 +39,8 @@
 DOWN_S = 0.3
 # Weight of the newest call in the share of failed calls.
 FAILURE_WEIGHT = 0.05
-# Time after a stop request in which calls of other nodes are still taken: they
-# learn of the stop meanwhile.
+# Time after a stop request in which calls are still taken: other nodes learn of the
+# stop meanwhile, and this one's clients have other upstreams.
 STOP_PEERS_S = 1.0
 # Statuses by which an upstream tells that another instance is meant.
 WRONG_INSTANCE = 421
@@ -113,13 +113,7 @@
         )
 
     async def run_call(self, request: CallRequest) -> CallOutcome:
-        """Carry a call of another node."""
-        if self._stopped_for_peers():
-            return self._refuse(request, ResultCode.CALL_LEAVING, 0.0)
-        return await self.run_local_call(request)
-
-    async def run_local_call(self, request: CallRequest) -> CallOutcome:
-        """Carry a call that began at this node, or was passed on to it."""
+        """Carry a call, of this node's clients or of another node."""
         now_s = self._loop.time()
         code = self._why_not(request, now_s)
         if code is not None:
@@ -309,11 +303,10 @@
 
     # --- refusing ---
 
-    def _stopped_for_peers(self) -> bool:
-        since_s = self._state.stopping_since_s
-        return since_s is not None and self._loop.time() - since_s > STOP_PEERS_S
-
     def _why_not(self, request: CallRequest, now_s: float) -> ResultCode | None:
+        since_s = self._state.stopping_since_s
+        if since_s is not None and now_s - since_s > STOP_PEERS_S:
+            return ResultCode.CALL_LEAVING
         known = self._state.registry.current
         if known is None:
             return ResultCode.CALL_NO_UPSTREAM
--- a/gypsumlock/mesh/watchers.py
+++ b/gypsumlock/mesh/watchers.py
@@ -24,8 +24,11 @@
 
 # Table of the nodes' records.
 RECORD_TABLE = "gypsumlock-nodes"
-# Longest wait for changes, in seconds. Shorter than the store's history.
-FEED_WAIT_S = 12.0
+# Longest wait for changes, in seconds. A store that fails silently swallows the call
+# that waits there, and nobody is told once it is back: the wait for a version is
+# short enough for that to be noticed in time.
+CONFIG_WAIT_S = 3.0
+RECORD_WAIT_S = 6.0
 # Changes are collected for so long before the store is asked again: the store is
 # called once for many changes.
 CONFIG_BATCH_S = 0.6
@@ -48,13 +51,18 @@
         The store.
     table : str
         Name of the table.
+    wait_s : float
+        Longest wait for changes, in seconds.
     batch_s : float
         Time for which changes are collected, in seconds.
     """
 
-    def __init__(self, store: FeedStore, table: str, batch_s: float) -> None:
+    def __init__(
+        self, store: FeedStore, table: str, wait_s: float, batch_s: float
+    ) -> None:
         self._store = store
         self._table = table
+        self._wait_s = wait_s
         self._batch_s = batch_s
         self._backoff = Backoff(RETRY_BASE_S, RETRY_MAX_S)
         self._reachable = True
@@ -78,9 +86,9 @@
     async def _follow(self) -> None:
         """Take changes in until the store has lost its history."""
         while True:
-            changes = await self._store.wait_changes(
-                self._table, self._version, FEED_WAIT_S
-            )
+            # A store that failed is asked for what it has, not for what may come.
+            wait_s = self._wait_s if self._reachable else 0.0
+            changes = await self._store.wait_changes(self._table, self._version, wait_s)
             if isinstance(changes, Err):
                 if changes.err_value.code is ResultCode.PLATFORM_HISTORY_LOST:
                     log.info("store lost its history", table=self._table)
@@ -132,7 +140,7 @@
     def __init__(
         self, store: FeedStore, state: MeshState, table: str, key: str, decode: Decode
     ) -> None:
-        super().__init__(store, table, CONFIG_BATCH_S)
+        super().__init__(store, table, CONFIG_WAIT_S, CONFIG_BATCH_S)
         self._state = state
         self._key = key
         self._decode = decode
@@ -169,7 +177,7 @@
     def __init__(
         self, store: FeedStore, state: MeshState, directory: Directory
     ) -> None:
-        super().__init__(store, RECORD_TABLE, RECORD_BATCH_S)
+        super().__init__(store, RECORD_TABLE, RECORD_WAIT_S, RECORD_BATCH_S)
         self._state = state
         self._directory = directory
         self._records: dict[str, UpstreamRecord] = {}
--- a/gypsumlock/platform/store_client.py
+++ b/gypsumlock/platform/store_client.py
@@ -21,7 +21,7 @@
 _Query = dict[str, str | int]
 
 # Bound on one call beside the time that the store itself is asked to wait.
-CALL_TIMEOUT_S = 1.5
+CALL_TIMEOUT_S = 1.0
 # Bound on making a connection. Without it a partition that has healed is noticed
 # only by the kernel's next attempt, seconds later.
 CONNECT_TIMEOUT_S = 0.8
--- a/tests/standins/feed_store.py
+++ b/tests/standins/feed_store.py
@@ -22,6 +22,8 @@
         self.history: list[tuple[str, FeedRow]] = []
         # While True, every call fails and does nothing.
         self.down = False
+        # While True, changes are told to nobody who waits already.
+        self.swallow = False
         # Number of writes that are made, but whose answer is lost.
         self.lose_answers = 0
         # Changes up to this version are forgotten.
@@ -68,7 +70,13 @@
         self.calls += 1
         loop = asyncio.get_running_loop()
         end_s = loop.time() + wait_s
+        if self.swallow:
+            await asyncio.sleep(wait_s + 1.0)
+            return _unreachable()
         while True:
+            if self.swallow:
+                await asyncio.sleep(max(0.0, end_s - loop.time()) + 1.0)
+                return _unreachable()
             if self.down:
                 return _unreachable()
             if after < self.history_from:
