--- a/tests/standins/mesh_fleet.py
+++ b/tests/standins/mesh_fleet.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import time
 from dataclasses import dataclass, field
 
@@ -28,8 +27,9 @@
 from gypsumlock.result_codes import Fault
 from tests.standins.feed_store import MemoryFeedStore
 from tests.standins.mesh_upstream import MeshUpstream
+from tests.standins.processes import free_ports
 
-__all__ = ["ClientAnswer", "MeshFleet", "Place", "make_config"]
+__all__ = ["ClientAnswer", "MeshFleet", "Place", "free_address", "make_config"]
 
 NAMES = HeaderNames(
     b"request-id",
@@ -126,10 +126,9 @@
         connection.answer(200 if self._state.ready() else 503, [], b"")
 
 
-def _free_address() -> str:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+def free_address() -> str:
+    """Return an address on which nobody listens."""
+    return f"127.0.0.1:{free_ports(1)[0]}"
 
 
 def _decode(value: bytes) -> Result[MeshConfig, Fault]:
@@ -173,7 +172,7 @@
         """Start a place whose upstream reports itself at once."""
         upstream = MeshUpstream(instance or f"i-{name}")
         await upstream.start()
-        calls, peers, readiness, heartbeats = (_free_address() for _ in range(4))
+        calls, peers, readiness, heartbeats = (free_address() for _ in range(4))
         addresses = NodeAddresses(calls, peers, readiness, heartbeats, upstream.address)
         place = self._build(name, service, zone, upstream, addresses)
         self.places.append(place)
--- a/tests/standins/mesh_upstream.py
+++ b/tests/standins/mesh_upstream.py
@@ -11,7 +11,7 @@
 
 __all__ = ["Behaviour", "MeshUpstream", "SeenCall"]
 
-SEAL = b"server-seal"
+HEALTH_TARGET = b"/healthz"
 
 
 @dataclass(slots=True)
@@ -62,6 +62,9 @@
         self.connections += 1
         try:
             while (call := await _read_call(reader)) is not None:
+                if call.target == HEALTH_TARGET:
+                    writer.write(_encode_health(self.instance))
+                    continue
                 await self._answer(call, reader, writer)
                 if writer.is_closing():
                     break
@@ -92,6 +95,13 @@
             self.running -= 1
 
 
+def _encode_health(instance: str) -> bytes:
+    return (
+        b"HTTP/1.1 200 OK\r\nInstance-Id: %b\r\nContent-Length: 0\r\n\r\n"
+        % instance.encode()
+    )
+
+
 async def _wait_gone(reader: asyncio.StreamReader) -> None:
     while not reader.at_eof() and reader.exception() is None:
         await asyncio.sleep(0.005)
