Give calls back that became late, and know one node at an address

Changes: a call that wants no late answer is dropped when it becomes late; refusals that hold for a whole service say so in the load; of two rows with one address the newer counts.

--- a/gypsumlock/mesh/admission.py
+++ b/gypsumlock/mesh/admission.py
@@ -310,7 +310,10 @@
         return Verdict(TicketState.DROPPED, max(MIN_RETRY_AFTER_S, over_s))
 
     def _drop_hopeless(self, now_s: float) -> list[Ticket]:
-        """Drop calls that can't be answered in time; demote late ones."""
+        """Drop calls that can't be answered in time; demote those that may be late.
+
+        A call that wants no late answer is dropped while it can still go elsewhere.
+        """
         dropped: list[Ticket] = []
         demoted: list[Ticket] = []
         kept: list[Ticket] = []
@@ -320,7 +323,11 @@
                 dropped.append(ticket)
             elif now_s + ticket.safe_s > ticket.target_at_s and not ticket.late:
                 ticket.late = True
-                demoted.append(ticket)
+                if ticket.late_ok:
+                    demoted.append(ticket)
+                else:
+                    ticket.state = TicketState.DROPPED
+                    dropped.append(ticket)
             else:
                 kept.append(ticket)
         self._waiting = kept
--- a/gypsumlock/mesh/model.py
+++ b/gypsumlock/mesh/model.py
@@ -143,7 +143,7 @@
     departed: bool = False
 
 
-class OwnerLoad(msgspec.Struct, frozen=True, array_like=True):
+class OwnerLoad(msgspec.Struct, array_like=True):
     """Load of the upstream beside a node, as that node sees it."""
 
     slots: int = 0
--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -46,6 +46,14 @@
 WRONG_INSTANCE = 421
 BAD_REQUEST = 400
 SERVER_ERROR = 500
+# Refusals that hold for all calls of the same service.
+CLOSED_CODES = frozenset(
+    {
+        ResultCode.CALL_NO_UPSTREAM,
+        ResultCode.CALL_LEAVING,
+        ResultCode.CALL_UPSTREAM_UNREACHABLE,
+    }
+)
 
 
 class Owner(CallSink):
@@ -331,4 +339,8 @@
             waiting=self._queue.waiting,
             retry_after_s=round(retry_after_s, 3),
         )
-        return Refusal(0, code, retry_after_s, False, self.load(request.route))
+        load = self.load(request.route)
+        if code in CLOSED_CODES:
+            # Whatever else runs here, the call's service takes nothing.
+            load.accepting = False
+        return Refusal(0, code, retry_after_s, False, load)
--- a/gypsumlock/mesh/placement.py
+++ b/gypsumlock/mesh/placement.py
@@ -62,7 +62,7 @@
     node: str
     instance: str
     zone: str
-    load: OwnerLoad = OwnerLoad()
+    load: OwnerLoad = field(default_factory=OwnerLoad)
     load_at_s: float = float("-inf")
     # Calls of this node that the upstream has not answered yet.
     outstanding: int = 0
--- a/gypsumlock/mesh/watchers.py
+++ b/gypsumlock/mesh/watchers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from abc import abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import anyio
 import msgspec
@@ -180,7 +180,8 @@
         super().__init__(store, RECORD_TABLE, RECORD_WAIT_S, RECORD_BATCH_S)
         self._state = state
         self._directory = directory
-        self._records: dict[str, UpstreamRecord] = {}
+        # Records and the versions of their rows, by the name of their node.
+        self._records: dict[str, tuple[int, UpstreamRecord]] = {}
 
     def replace(self, whole: TableChanges) -> None:
         """Take the whole table in."""
@@ -195,8 +196,22 @@
             if record is None:
                 self._records.pop(row.key, None)
             else:
-                self._records[row.key] = record
-        self._directory.update(dict(self._records))
+                self._records[row.key] = (row.version, record)
+        self._directory.update(newest_by_address(self._records.values()))
+
+
+def newest_by_address(
+    records: Iterable[tuple[int, UpstreamRecord]],
+) -> dict[str, UpstreamRecord]:
+    """Return the newest record of each address, by the name of its node.
+
+    A machine that is gone leaves its row behind, and its address goes to another.
+    """
+    newest = {
+        record.peer_address: record
+        for _, record in sorted(records, key=lambda item: item[0])
+    }
+    return {record.node: record for record in newest.values()}
 
 
 def decode_record(row: FeedRow) -> UpstreamRecord | None:
--- a/tests/test_mesh_admission.py
+++ b/tests/test_mesh_admission.py
@@ -87,6 +87,15 @@
         self.assertEqual(queue.take_ready(0.35), [ticket])
         self.assertIs(ticket.state, TicketState.DROPPED)
 
+    def test_call_that_became_late_is_given_back_unless_it_may_be(self) -> None:
+        for late_ok in (False, True):
+            with self.subTest(late_ok=late_ok):
+                queue, _ = full_queue()
+                ticket = make_ticket(target_s=0.3, deadline_s=5.0, late_ok=late_ok)
+                queue.offer(ticket, 0.0)
+                left = queue.take_ready(0.25)
+                self.assertEqual(left, [] if late_ok else [ticket])
+
     def test_stalled_upstream_takes_no_further_calls(self) -> None:
         queue, _ = full_queue()
         verdict = queue.offer(make_ticket(now_s=3.0), 3.0)
--- a/tests/test_mesh_calls.py
+++ b/tests/test_mesh_calls.py
@@ -5,7 +5,9 @@
 import asyncio
 import unittest
 
-from gypsumlock.mesh.model import ServiceShare
+import msgspec
+
+from gypsumlock.mesh.model import ServiceShare, UpstreamRecord
 from tests.standins.mesh_fleet import ClientAnswer, MeshFleet, Place, make_config
 from tests.standins.mesh_upstream import (
     answer_error,
@@ -388,6 +390,19 @@
         statuses = [(await self.fleet.call(self.near)).status for _ in range(10)]
         self.assertEqual(statuses, [200] * 10)
 
+    async def test_address_of_a_lost_node_belongs_to_the_newest(self) -> None:
+        old = UpstreamRecord(
+            "n-0", self.far.addresses.peers, "a", "finder", "i-0", 1, 4, serving=True
+        )
+        self.far.beat(leaving=True)
+        await self.fleet.settle(upstreams=1)
+        self.fleet.store.put("gypsumlock-nodes", "n-0", msgspec.json.encode(old))
+        await asyncio.sleep(0.8)
+        self.far.beat(born_ms=2000)
+        await asyncio.sleep(1.2)
+        views = self.near.node.directory.views("finder")
+        self.assertEqual({view.node for view in views}, {"n-1", "n-2"})
+
     async def test_foreign_rows_name_no_upstream(self) -> None:
         self.fleet.store.put("gypsumlock-nodes", "n-9", b"\xff\x00 not a record")
         self.fleet.store.put("gypsumlock-nodes", "n-8", b'["n-7","1.2.3.4:5"]')
