Give late calls only slots that punctual ones don't need

Change: a late call leaves the demand of all punctual ones free, and is refused while that demand takes all slots; a refusal tells the time in which the demand beyond the slots fades, spread by a quarter.

--- a/gypsumlock/mesh/admission.py
+++ b/gypsumlock/mesh/admission.py
@@ -7,8 +7,9 @@
 Rules:
 1. A call is taken only if it is expected to be answered by its latency target, with
    a margin for the spread of service times.
-2. A call that can't be, but wants a late answer, waits behind all punctual ones
-   and is taken only if its deadline leaves ample room.
+2. A call that can't be, but wants a late answer, waits behind all punctual ones,
+   uses only slots that those don't need, and is taken only if its deadline leaves
+   ample room: full slots make upstreams slow, and then punctual calls late.
 3. All others are refused at once, with the time at which room is expected.
 4. A call leaves those slots free that more urgent calls are about to need: long
    calls in all slots would make short urgent ones wait for the first to end.
@@ -48,6 +49,8 @@
 MIN_RETRY_AFTER_S = 0.05
 # An upstream counts as stalled after so many mean service times without an end.
 STALL_SERVICES = 3.0
+# Class of calls that can only be late: every punctual one goes before them.
+LATE_URGENCY = (1_000_000, 0.0)
 # Ranks for which a wait is reported; lower ones share the last.
 REPORTED_RANKS = 4
 
@@ -214,6 +217,8 @@
             if not ticket.late_ok:
                 return self._refuse(ticket, end_s - ticket.target_at_s)
             ticket.late = True
+            if self._demand.above(LATE_URGENCY) >= self.slots:
+                return self._refuse(ticket, wait_s)
             wait_s = self.expected_wait_s(ticket.order(), now_s)
             left_s = ticket.deadline_at_s - now_s - ticket.service_s
             if wait_s * LATE_MARGIN > left_s:
@@ -292,12 +297,12 @@
         free = self.slots - self.in_flight
         if free <= 0:
             return False
-        expected = self._demand.above(ticket.urgency)
-        wanted = min(
-            round(expected + math.sqrt(expected)), MAX_RESERVED_SHARE * self.slots
-        )
+        urgency = LATE_URGENCY if ticket.late else ticket.urgency
+        share = 1.0 if ticket.late else MAX_RESERVED_SHARE
+        expected = self._demand.above(urgency)
+        wanted = min(round(expected + math.sqrt(expected)), share * self.slots)
         running = sum(
-            count for known, count in self._running.items() if known < ticket.urgency
+            count for known, count in self._running.items() if known < urgency
         )
         return free > wanted - running
 
@@ -307,7 +312,10 @@
 
     def _refuse(self, ticket: Ticket, over_s: float) -> Verdict:
         ticket.state = TicketState.DROPPED
-        return Verdict(TicketState.DROPPED, max(MIN_RETRY_AFTER_S, over_s))
+        asked = self._demand.above(LATE_URGENCY)
+        # Demand beyond the slots has to fade before anybody finds room.
+        fade_s = DEMAND_WINDOW_S * max(0.0, 1 - self.slots / max(asked, 1e-9))
+        return Verdict(TicketState.DROPPED, max(MIN_RETRY_AFTER_S, over_s + fade_s))
 
     def _drop_hopeless(self, now_s: float) -> list[Ticket]:
         """Drop calls that can't be answered in time; demote those that may be late.
--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -46,6 +47,8 @@
 
 # Time told to a client that is refused for want of any upstream or configuration.
 NO_UPSTREAM_RETRY_S = 0.3
+# Spread of the time told to refused clients, as a share of it.
+RETRY_SPREAD = 0.25
 # Shortest time in which it is worth offering a call to an upstream.
 MIN_LEFT_S = 0.01
 # Time for the upstream's own answer at the deadline to arrive.
@@ -97,11 +100,14 @@
         Compares upstreams.
     metrics : Metrics
         Counts what happened.
+    chance : random.Random
+        Source of the spread of return times.
     """
 
     __slots__ = (
         "_ages",
         "_budgets",
+        "_chance",
         "_directory",
         "_loop",
         "_metrics",
@@ -117,11 +123,13 @@
         directory: Directory,
         placement: Placement,
         metrics: Metrics,
+        chance: random.Random,
     ) -> None:
         self._state = state
         self._directory = directory
         self._placement = placement
         self._metrics = metrics
+        self._chance = chance
         self._loop = asyncio.get_running_loop()
         self._shares = ShareCounter()
         self._ages = ClientAges()
@@ -338,6 +346,8 @@
         self, call: _Call, connection: ServerConnection, code: ResultCode
     ) -> None:
         retry_after_s = call.retry_after_s or NO_UPSTREAM_RETRY_S
+        # Clients that were refused together must not come back together.
+        retry_after_s *= self._chance.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
         self._answer_code(connection, call.request, code, retry_after_s)
         self._note(call, "call not answered", entry_of(code).http_status)
 
--- a/gypsumlock/mesh/node.py
+++ b/gypsumlock/mesh/node.py
@@ -67,8 +67,9 @@
         self.metrics = Metrics()
         self.owner = Owner(state)
         self.directory = Directory(state, self.owner)
-        placement = Placement(state.zone, random.Random())
-        caller = Caller(state, self.directory, placement, self.metrics)
+        chance = random.Random()
+        placement = Placement(state.zone, chance)
+        caller = Caller(state, self.directory, placement, self.metrics, chance)
         self.calls = CallServer(caller)
         self.peers = LinkServer(self.owner)
         # Readiness and heartbeats.
--- a/tests/test_mesh_admission.py
+++ b/tests/test_mesh_admission.py
@@ -96,6 +96,22 @@
                 left = queue.take_ready(0.25)
                 self.assertEqual(left, [] if late_ok else [ticket])
 
+    def test_late_call_takes_no_slot_that_punctual_ones_need(self) -> None:
+        queue = AdmissionQueue()
+        queue.slots = 4
+        held = []
+        for number in range(200):
+            now_s = number * 0.02
+            ticket = make_ticket(now_s=now_s)
+            queue.offer(ticket, now_s)
+            held.append(ticket)
+            if len(held) > 2:
+                queue.release(held.pop(0), now_s, 0.1)
+        late = make_ticket(target_s=-0.1, late_ok=True, now_s=4.0)
+        late.late = True
+        self.assertEqual(queue.in_flight, 2)
+        self.assertIsNot(queue.offer(late, 4.0).state, TicketState.ADMITTED)
+
     def test_stalled_upstream_takes_no_further_calls(self) -> None:
         queue, _ = full_queue()
         verdict = queue.offer(make_ticket(now_s=3.0), 3.0)
