--- a/gypsumlock/mesh/upstream_probe.py
+++ b/gypsumlock/mesh/upstream_probe.py
@@ -28,7 +28,7 @@
 # Time for which a health check is waited for, in seconds.
 PROBE_TIMEOUT_S = 1.0
 # Health checks sent to an upstream that gives no usable answer.
-PROBE_ATTEMPTS = 3
+PROBE_ATTEMPTS = 5
 PROBE_GAP_S = 0.2
 STATUS_OK = 200
 
@@ -41,11 +41,10 @@
     state : MeshState
         The node's blackboard, with a table in force.
     last : UpstreamRecord | None
-        What an earlier process at this node published. Only an upstream with the
-        same identifier has a known number of slots; others wait for their first
-        heartbeat.
+        What an earlier process at this node published. It tells the number of slots,
+        which an upstream says only in its heartbeats.
     """
-    if last is None or last.departed or not last.instance:
+    if last is None or not last.instance:
         return False
     for _ in range(PROBE_ATTEMPTS):
         if state.registry.current is not None:
@@ -78,14 +77,17 @@
 
 
 def _believe(state: MeshState, last: UpstreamRecord, answer: UpstreamAnswer) -> bool:
-    name = find_header(answer.headers, state.headers.instance_id) or b""
-    if name.decode("latin-1") != last.instance:
+    name = find_header(answer.headers, state.headers.instance_id)
+    if name is None:
         return False
+    instance = name.decode("latin-1")
+    # Any heartbeat says more than a health check, and replaces what is assumed here.
+    born_ms = last.born_ms if instance == last.instance else 0
     found = UpstreamIncarnation(
-        instance=last.instance,
-        service=last.service,
+        instance=instance,
+        service=state.service,
         slots=last.slots,
-        born_ms=last.born_ms,
+        born_ms=born_ms,
         sequence=-1,
         leaving=False,
     )
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -81,6 +81,19 @@
             await wait_until(node.ready)
         await wait_until(self.served, 3.0)
 
+    async def test_restarted_node_believes_a_restarted_upstream(self) -> None:
+        for node in self.platform.nodes:
+            node.signal(signal.SIGKILL)
+            await node.wait_end(5.0)
+            node.upstream.instance += "-reborn"
+            node.start_process()
+        for node in self.platform.nodes:
+            await wait_until(node.ready)
+        await wait_until(self.served, 3.0)
+        calls = self.one.upstream.calls + self.two.upstream.calls
+        named = [seen.headers[b"target-instance"] for seen in calls]
+        self.assertTrue({b"i-one-reborn", b"i-two-reborn"} & set(named))
+
     async def test_draining_upstream_gets_nothing_more(self) -> None:
         self.assertEqual(await self.one.beat("draining"), 200)
         before = len(self.one.upstream.calls)
