--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -79,6 +79,8 @@
     deadline_at_s: float
     # Upstreams that were sent the call, or may have been.
     sent_to: set[str] = field(default_factory=set)
+    # Owners that take nothing for the service, late or not.
+    closed: set[str] = field(default_factory=set)
     # True once the call may have run.
     unknown: bool = False
     retry_after_s: float = 0.0
@@ -247,13 +249,15 @@
                     call.sent_to.add(view.node)
                     return outcome
                 self._note_refusal(call, outcome)
+                if not outcome.load.accepting:
+                    call.closed.add(view.node)
         return None
 
     def _candidates(self, call: _Call) -> Sequence[UpstreamView]:
         views = [
             view
             for view in self._directory.views(call.service)
-            if view.node not in call.sent_to
+            if view.node not in call.sent_to and view.node not in call.closed
         ]
         size_bytes = self._sizes.get(call.route.name, 0.0)
         shape = CallShape(call.route, size_bytes)
