--- /dev/null
+++ b/misc/mesh_mutations.py
@@ -0,0 +1,129 @@
+"""Mechanisms of the mesh node that can be taken away; see `misc.mutations`."""
+
+from __future__ import annotations
+
+from misc.mutation import Mutation
+
+__all__ = ["MESH_MUTATIONS"]
+
+_CALLS = "tests.test_mesh_calls"
+_DECISIONS = "tests.test_mesh_decisions"
+_FLOOD = "tests.test_mesh_admission"
+
+MESH_MUTATIONS = (
+    Mutation(
+        "mesh: an older version is never put in force",
+        "gypsumlock/mesh/state.py",
+        "if self.table is not None and table.version <= self.table.version:",
+        "if False:",
+        f"{_CALLS}.TestConfiguration.test_older_version_is_never_taken",
+    ),
+    Mutation(
+        "mesh: leaving is final for an incarnation",
+        "gypsumlock/mesh/upstream_registry.py",
+        "beat.leaving or sticky,",
+        "beat.leaving,",
+        f"{_DECISIONS}.TestUpstreamRegistry.test_leaving_is_final_for_an_incarnation",
+    ),
+    Mutation(
+        "mesh: a departure outlives the process",
+        "gypsumlock/mesh/watchers.py",
+        "self._state.registry.restore_departed(left.instance, left.born_ms)",
+        "pass",
+        f"{_CALLS}.TestLeaving.test_departed_upstream_gets_nothing_after_a_restart",
+    ),
+    Mutation(
+        "mesh: an answer must echo its call",
+        "gypsumlock/mesh/upstream_connection.py",
+        "self._matches = not self._call_id or echoed == self._call_id",
+        "self._matches = True",
+        f"{_CALLS}.TestMisbehaviour.test_answer_of_another_call_is_passed_over",
+    ),
+    Mutation(
+        "mesh: what may have run is not sent again unless it may run twice",
+        "gypsumlock/mesh/caller.py",
+        "if ran and not call.route.repeatable:",
+        "if False:",
+        f"{_CALLS}.TestMisbehaviour.test_answer_is_lost",
+    ),
+    Mutation(
+        "mesh: slots are kept for urgent calls",
+        "gypsumlock/mesh/admission.py",
+        "return free > wanted - running",
+        "return True",
+        f"{_FLOOD}.TestAdmissionQueue."
+        "test_late_call_takes_no_slot_that_punctual_ones_need",
+    ),
+    Mutation(
+        "mesh: calls are taken on a safe service time",
+        "gypsumlock/mesh/admission.py",
+        "SAFE_DEVIATIONS = 2.0",
+        "SAFE_DEVIATIONS = 0.0",
+        f"{_FLOOD}.TestFlood."
+        "test_flood_of_one_rank_is_served_in_time_as_far_as_slots_go",
+    ),
+    Mutation(
+        "mesh: a call that became late is given back",
+        "gypsumlock/mesh/admission.py",
+        "if ticket.late_ok:",
+        "if True:",
+        f"{_FLOOD}.TestAdmissionQueue."
+        "test_call_that_became_late_is_given_back_unless_it_may_be",
+    ),
+    Mutation(
+        "mesh: connecting is bounded",
+        "gypsumlock/mesh/upstream_connection.py",
+        "CONNECT_TIMEOUT_S = 0.5",
+        "CONNECT_TIMEOUT_S = 4.0",
+        "tests.test_platform_adapter.TestStorePartition",
+    ),
+    Mutation(
+        "mesh: repeatable calls leave a silent connection",
+        "gypsumlock/mesh/link.py",
+        "if silent_s > SUSPECT_S:",
+        "if False:",
+        f"{_CALLS}.TestSilence.test_repeatable_call_is_sent_elsewhere_in_time",
+    ),
+    Mutation(
+        "mesh: a stop refuses what waits elsewhere",
+        "gypsumlock/mesh/node.py",
+        "self.directory.withdraw_waiting()",
+        "pass",
+        f"{_CALLS}.TestLeaving.test_stop_refuses_calls_that_never_got_a_slot",
+    ),
+    Mutation(
+        "mesh: repeats keep a budget",
+        "gypsumlock/mesh/retry_budget.py",
+        "if len(self._repeats) + 1 > bound:",
+        "if False:",
+        f"{_DECISIONS}.TestRetryBudget.test_fleet_bound_holds",
+    ),
+    Mutation(
+        "mesh: one node at an address",
+        "gypsumlock/mesh/watchers.py",
+        "record.peer_address: record",
+        "record.node: record",
+        f"{_CALLS}.TestStore.test_address_of_a_lost_node_belongs_to_the_newest",
+    ),
+    Mutation(
+        "mesh: a booking isn't broken off",
+        "gypsumlock/mesh/owner.py",
+        "            if request.repeatable:\n                task.cancel()",
+        "            task.cancel()",
+        f"{_CALLS}.TestTimes.test_client_that_leaves_does_not_break_a_booking_off",
+    ),
+    Mutation(
+        "mesh: a client that leaves ends a repeatable run",
+        "gypsumlock/mesh/owner.py",
+        "            if request.repeatable:\n                task.cancel()",
+        "            pass",
+        f"{_CALLS}.TestTimes.test_client_that_leaves_ends_a_repeatable_run",
+    ),
+    Mutation(
+        "mesh: log lines are bounded",
+        "gypsumlock/bounded_sink.py",
+        "if self._spent[part, warning] >= bound:",
+        "if False:",
+        "tests.test_bounded_sink.TestBoundedSink.test_lines_left_out_are_counted",
+    ),
+)
--- a/misc/mutations.py
+++ b/misc/mutations.py
@@ -6,23 +6,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from misc.mesh_mutations import MESH_MUTATIONS
+from misc.mutation import Mutation
 
 __all__ = ["MUTATIONS", "Mutation"]
 
-
-@dataclass(frozen=True, slots=True)
-class Mutation:
-    """One mechanism taken away."""
-
-    mechanism: str
-    file: str
-    old: str
-    new: str
-    # Test that must fail without the mechanism.
-    test: str
-
-
 _MATRIX = "tests.test_config_fault_matrix.TestConfigFaultMatrix"
 _CALLS = "tests.test_call_fault_matrix.TestCallFaultMatrix"
 
@@ -216,4 +204,5 @@
         "",
         "tests.test_routing.TestRetryBudget.test_retries_are_bounded_over_many_calls",
     ),
+    *MESH_MUTATIONS,
 )
--- a/tests/test_mesh_calls.py
+++ b/tests/test_mesh_calls.py
@@ -356,12 +356,17 @@
             link.transport.pause_reading()
 
     async def test_repeatable_call_is_sent_elsewhere_in_time(self) -> None:
-        self.far.upstream.delay_s = self.third.upstream.delay_s = 0.05
-        for _ in range(4):
+        # The slower one is chosen only once the other is known to be silent.
+        self.far.upstream.delay_s = 0.01
+        self.third.upstream.delay_s = 0.3
+        for _ in range(12):
             await self.fleet.call(self.near)
         self.silence(self.far)
-        answers = [await self.fleet.call(self.near) for _ in range(8)]
-        self.assertEqual([answer.status for answer in answers], [200] * 8)
+        before = len(self.third.upstream.calls)
+        answers = [await self.fleet.call(self.near) for _ in range(3)]
+        self.assertEqual([answer.status for answer in answers], [200] * 3)
+        self.assertGreater(len(self.third.upstream.calls), before)
+        self.assertGreater(max(answer.took_s for answer in answers), 0.4)
         # The route's target is a second.
         self.assertLess(max(answer.took_s for answer in answers), 1.0)
 
