--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -19,6 +19,7 @@
 
 import msgspec
 
+from gypsumlock.http_headers import Headers
 from gypsumlock.logs import Part, part_log
 from gypsumlock.mesh.client_age import ClientAges
 from gypsumlock.mesh.directory import Directory
@@ -30,7 +31,6 @@
     CallRequest,
     ClientLimits,
     Failure,
-    Headers,
     Refusal,
     RouteSpec,
 )
--- a/gypsumlock/mesh/http_server.py
+++ b/gypsumlock/mesh/http_server.py
@@ -17,7 +17,8 @@
 
 import httptools
 
-from gypsumlock.mesh.model import ClientLimits, Headers
+from gypsumlock.http_headers import Headers, find_header
+from gypsumlock.mesh.model import ClientLimits
 
 __all__ = ["CallServer", "HttpHandler", "HttpRequest", "ServerConnection"]
 
@@ -68,10 +69,7 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
+        return find_header(self.headers, name)
 
 
 class HttpHandler(ABC):
--- a/gypsumlock/mesh/http_text.py
+++ b/gypsumlock/mesh/http_text.py
@@ -2,48 +2,17 @@
 
 from __future__ import annotations
 
-from gypsumlock.mesh.model import CallRequest, HeaderNames, Headers
+from gypsumlock.http_headers import Headers, end_to_end
+from gypsumlock.mesh.model import CallRequest, HeaderNames
 
-__all__ = ["encode_request", "find_header", "forwardable"]
+__all__ = ["encode_request", "forwardable"]
 
-# Headers that concern one connection (RFC 9110, section 7.6.1) or frame the body.
-HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"expect",
-        b"content-length",
-    }
-)
 BODILESS_METHODS = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
 
 
-def find_header(headers: Headers, name: bytes) -> bytes | None:
-    """Return the first value of a header, or None."""
-    for key, value in headers:
-        if key == name:
-            return value
-    return None
-
-
 def forwardable(headers: Headers) -> Headers:
-    """Return the headers that go on to the next connection."""
-    connection = find_header(headers, b"connection")
-    named: frozenset[bytes] = frozenset()
-    if connection is not None:
-        named = frozenset(item.strip().lower() for item in connection.split(b","))
-    return [
-        (name, value)
-        for name, value in headers
-        if name not in HOP_BY_HOP and name not in named
-    ]
+    """Return the headers that go on; bodies are framed anew on each connection."""
+    return [item for item in end_to_end(headers) if item[0] != b"content-length"]
 
 
 def encode_request(
--- a/gypsumlock/mesh/model.py
+++ b/gypsumlock/mesh/model.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from gypsumlock.http_headers import Headers
 from gypsumlock.result_codes import ResultCode
 
 __all__ = [
@@ -19,7 +20,6 @@
     "ClientLimits",
     "Failure",
     "HeaderNames",
-    "Headers",
     "MeshConfig",
     "NodeAddresses",
     "OwnerLoad",
@@ -32,8 +32,6 @@
     "refusal",
 ]
 
-Headers = list[tuple[bytes, bytes]]
-
 
 @dataclass(frozen=True, slots=True)
 class HeaderNames:
--- a/gypsumlock/mesh/upstream_connection.py
+++ b/gypsumlock/mesh/upstream_connection.py
@@ -14,7 +14,7 @@
 
 import httptools
 
-from gypsumlock.mesh.model import Headers
+from gypsumlock.http_headers import Headers, find_header
 
 __all__ = ["ConnectFailed", "ExchangeFailed", "UpstreamAnswer", "UpstreamPool"]
 
@@ -51,10 +51,7 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
+        return find_header(self.headers, name)
 
 
 class UpstreamConnection(asyncio.Protocol):
--- a/gypsumlock/mesh/upstream_probe.py
+++ b/gypsumlock/mesh/upstream_probe.py
@@ -9,8 +9,8 @@
 
 import anyio
 
+from gypsumlock.http_headers import find_header
 from gypsumlock.logs import Part, part_log
-from gypsumlock.mesh.http_text import find_header
 from gypsumlock.mesh.model import UpstreamRecord
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.mesh.upstream_connection import (
--- a/gypsumlock/proxy/headers.py
+++ b/gypsumlock/proxy/headers.py
@@ -8,7 +8,9 @@
 from __future__ import annotations
 
 from enum import StrEnum
-from typing import Final, TypeAlias
+from typing import Final
+
+from gypsumlock.http_headers import Headers, end_to_end, find_header
 
 __all__ = [
     "CALL_ID",
@@ -23,8 +25,6 @@
     "forwardable",
 ]
 
-Headers: TypeAlias = list[tuple[bytes, bytes]]
-
 PREFIX: Final = b"gypsumlock-"
 # Signed context of a call, between nodes and through upstreams.
 CONTEXT: Final = b"gypsumlock-context"
@@ -39,22 +39,6 @@
 # Attempts beyond the first that a node made.
 RETRIES: Final = b"gypsumlock-retries"
 
-# Headers that concern one connection only (RFC 9110, section 7.6.1).
-HOP_BY_HOP: Final = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"expect",
-    }
-)
-
 
 class CallOutcome(StrEnum):
     """What a node that answers in place of an upstream knows of the call."""
@@ -63,23 +47,6 @@
     UNKNOWN = "unknown"
 
 
-def find_header(headers: Headers, name: bytes) -> bytes | None:
-    """Return the first value of a header, or None."""
-    return next((value for key, value in headers if key == name), None)
-
-
 def forwardable(headers: Headers) -> Headers:
     """Return the headers that go on to the next connection."""
-    named = _named_by_connection(headers)
-    return [
-        (name, value)
-        for name, value in headers
-        if name not in HOP_BY_HOP and name not in named and not name.startswith(PREFIX)
-    ]
-
-
-def _named_by_connection(headers: Headers) -> set[bytes]:
-    value = find_header(headers, b"connection")
-    if value is None:
-        return set()
-    return {name.strip().lower() for name in value.split(b",")}
+    return [item for item in end_to_end(headers) if not item[0].startswith(PREFIX)]
