--- a/gypsumlock/platform/daemon.py
+++ b/gypsumlock/platform/daemon.py
@@ -75,7 +75,7 @@
     loop.add_signal_handler(signal.SIGINT, stop_requested.set)
     heartbeats = HeartbeatHandler(state, node.upstream_changed)
     try:
-        await node.listen(ReadinessHandler(state), heartbeats)
+        await node.listen(ReadinessHandler(state, node.metrics), heartbeats)
     except OSError as error:
         log.error("can't listen", reason=str(error))
         return ResultCode.PORT_IN_USE.value
--- a/gypsumlock/platform/endpoints.py
+++ b/gypsumlock/platform/endpoints.py
@@ -11,7 +11,13 @@
 from gypsumlock.mesh.http_server import HttpHandler, HttpRequest, ServerConnection
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.mesh.upstream_registry import Departure, Heartbeat
-from gypsumlock.platform.names import DEREGISTER_PATH, HEARTBEAT_PATH, READY_PATH
+from gypsumlock.metrics import Metrics
+from gypsumlock.platform.names import (
+    DEREGISTER_PATH,
+    HEARTBEAT_PATH,
+    METRICS_PATH,
+    READY_PATH,
+)
 from gypsumlock.result_codes import Fault, ResultCode
 
 __all__ = ["HeartbeatHandler", "ReadinessHandler", "decode_heartbeat"]
@@ -48,19 +54,32 @@
 
 
 class ReadinessHandler(HttpHandler):
-    """Tells the platform whether clients may be sent here."""
+    """Tells whether clients may be sent here, and what the node has counted.
 
-    __slots__ = ("_state",)
+    Parameters
+    ----------
+    state : MeshState
+        The node's blackboard.
+    metrics : Metrics
+        Counters and histograms since the start.
+    """
+
+    __slots__ = ("_metrics", "_state")
 
-    def __init__(self, state: MeshState) -> None:
+    def __init__(self, state: MeshState, metrics: Metrics) -> None:
         self._state = state
+        self._metrics = metrics
 
     async def handle(self, request: HttpRequest, connection: ServerConnection) -> None:
-        """Answer 200 or 503."""
-        if not request.target.startswith(READY_PATH):
+        """Answer a question for readiness or for metrics."""
+        if request.target.startswith(READY_PATH):
+            connection.answer(200 if self._state.ready() else 503, [], b"")
+        elif request.target == METRICS_PATH:
+            headers = [(b"content-type", b"application/json")]
+            report = msgspec.json.encode(self._metrics.report())
+            connection.answer(200, headers, report)
+        else:
             connection.answer(404, [], b"")
-            return
-        connection.answer(200 if self._state.ready() else 503, [], b"")
 
 
 class HeartbeatHandler(HttpHandler):
--- a/gypsumlock/platform/names.py
+++ b/gypsumlock/platform/names.py
@@ -10,10 +10,13 @@
     "DEREGISTER_PATH",
     "HEADER_NAMES",
     "HEARTBEAT_PATH",
+    "METRICS_PATH",
     "READY_PATH",
 ]
 
 READY_PATH = b"/-/readyz"
+# Served beside readiness: the settings name no address for it.
+METRICS_PATH = b"/metrics"
 # The identifier of the upstream follows.
 HEARTBEAT_PATH = b"/-/Instances.Heartbeat/"
 DEREGISTER_PATH = b"/-/Instances.Deregister/"
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import signal
 import tempfile
 import unittest
@@ -101,6 +102,13 @@
             self.assertEqual((await self.one.call(number)).status, 200)
         self.assertEqual(len(self.one.upstream.calls), before)
 
+    async def test_metrics_tell_latencies_by_route(self) -> None:
+        await self.one.call(8)
+        await self.one.call(9, "/gone/x")
+        report = json.loads((await self.one.ask("ready", "GET", "/metrics")).content)
+        self.assertGreaterEqual(report["latencies"]["r-search"]["count"], 1)
+        self.assertEqual(report["counters"]["refused.call_no_route"], 1)
+
     async def test_faulty_settings_change_nothing(self) -> None:
         self.one.settings_path.write_text("self_node: [")
         self.one.signal(signal.SIGHUP)
