--- a/gypsumlock/platform/store_client.py
+++ b/gypsumlock/platform/store_client.py
@@ -1,7 +1,4 @@
-"""The platform's metadata store, behind the project's `FeedStore`.
-
-The node's own HTTP client serves here too: httpcore takes a fifth of a node's start.
-"""
+"""The platform's metadata store, behind the project's `FeedStore`."""
 
 from __future__ import annotations
 
