Remove a flag of server connections that nothing reads

ServerConnection kept whether an answer had begun; no handler asked. Formatter, linter and mypy clean, test_mesh_calls and test_platform_adapter: 56 passed.

--- a/gypsumlock/mesh/http_server.py
+++ b/gypsumlock/mesh/http_server.py
@@ -127,7 +127,6 @@
     """One connection of a client."""
 
     __slots__ = (
-        "_answer_started",
         "_body",
         "_body_bytes",
         "_current",
@@ -154,7 +153,6 @@
         self._deadline: asyncio.TimerHandle | None = None
         self._in_request = False
         self._rejected = False
-        self._answer_started = False
         self._target = b""
         self._headers: Headers = []
         self._header_bytes = 0
@@ -166,11 +164,6 @@
         """True while a request is read or answered."""
         return self._in_request or self._current is not None
 
-    @property
-    def answer_started(self) -> bool:
-        """True once a part of the current answer was written."""
-        return self._answer_started
-
     # --- asyncio.Protocol ---
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -286,7 +279,6 @@
         lines.append(b"connection: close\r\n\r\n" if last else b"\r\n")
         if request.method != b"HEAD":
             lines.append(body)
-        self._answer_started = True
         self._write(b"".join(lines))
         self._finish(last)
 
@@ -303,7 +295,6 @@
     def _begin(self, request: HttpRequest) -> None:
         self._disarm()
         self._current = request
-        self._answer_started = False
         self._task = self._server.loop.create_task(self._run(request))
 
     async def _run(self, request: HttpRequest) -> None:
