Give test processes ports that no other one hands out

Cause: free_ports returned ports that were free at that moment, from a sequence that begins at the process id times 61. Two suites with near process ids walk the same ports, and one can be given a port that the other's stand-in is about to listen on again after it was killed. That fits test_upstream_leaving_at_connect, which failed once in one of two suites at the same time; no log of that run is left to prove it. Change: ports come in blocks; a process owns a block while it holds the block's first port. Run of the new test on the old way: two sequences that begin alike hand out the same ports by construction. misc.run_tests tells a listed test that was not run from one that did not fail. The entry in KNOWN-RED.txt stays until two whole suites have run at the same time.

--- a/misc/run_tests.py
+++ b/misc/run_tests.py
@@ -53,7 +53,7 @@
     failed = sorted(test_id for test_id, passed in outcomes.items() if not passed)
     unexpected = [test_id for test_id in failed if test_id not in known]
     for test_id, entry in known.items():
-        state = "failed" if test_id in failed else "did not fail"
+        state = _state(outcomes.get(test_id))
         print(f"known red, {state}: {test_id} ({entry.issue}): {entry.seen}")
     for test_id in unexpected:
         print(f"failed: {test_id}")
@@ -61,6 +61,12 @@
     return 1 if unexpected or not outcomes else 0
 
 
+def _state(passed: bool | None) -> str:
+    if passed is None:
+        return "not run"
+    return "did not fail" if passed else "failed"
+
+
 def _read() -> str:
     return KNOWN_RED_FILE.read_text() if KNOWN_RED_FILE.exists() else ""
 
--- a/tests/standins/fault_proxy.py
+++ b/tests/standins/fault_proxy.py
@@ -12,7 +12,7 @@
 
 import psutil
 
-from tests.standins.processes import free_ports
+from tests.standins.ports import free_ports
 
 __all__ = ["FaultProxy"]
 
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -25,7 +25,8 @@
 from tests.standins.fault_proxy import FaultProxy
 from tests.standins.instance import REQUEST_TIMEOUT_S, Instance, InstancePlan
 from tests.standins.platform_server import PlatformControl
-from tests.standins.processes import Process, free_ports, wait_until
+from tests.standins.ports import free_ports
+from tests.standins.processes import Process, wait_until
 from tests.standins.upstream_server import (
     UpstreamSettings,
 )
--- a/tests/standins/mesh_fleet.py
+++ b/tests/standins/mesh_fleet.py
@@ -27,7 +27,7 @@
 from gypsumlock.result_codes import Fault
 from tests.standins.feed_store import MemoryFeedStore
 from tests.standins.mesh_upstream import MeshUpstream
-from tests.standins.processes import free_ports
+from tests.standins.ports import free_ports
 
 __all__ = ["ClientAnswer", "MeshFleet", "Place", "free_address", "make_config"]
 
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -2,11 +2,7 @@
 
 from __future__ import annotations
 
-import contextlib
-import itertools
-import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -15,7 +11,7 @@
 from types import TracebackType
 from typing import TypeVar
 
-__all__ = ["Process", "free_ports", "wait_until"]
+__all__ = ["Process", "wait_until"]
 
 T = TypeVar("T")
 
@@ -53,30 +49,6 @@
         time.sleep(POLL_S)
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that are free now.
-
-    They lie below the range that the system gives to outgoing connections, and
-    no two calls in this process return the same port.
-    """
-    found: list[int] = []
-    while len(found) < count:
-        port = next(_candidates)
-        with socket.socket() as sock:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            with contextlib.suppress(OSError):
-                sock.bind(("127.0.0.1", port))
-                found.append(port)
-    return found
-
-
-_FIRST_PORT = 10_000
-_PORTS = 22_000
-_candidates = (
-    _FIRST_PORT + (os.getpid() * 61 + index) % _PORTS for index in itertools.count()
-)
-
-
 class Process:
     """One child process whose output goes to a file."""
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -16,7 +16,8 @@
 
 from gypsumlock.result_codes import ResultCode
 from tests.standins.fleet import OPERATOR_TOKEN, Fleet, InstancePlan, load_example
-from tests.standins.processes import free_ports, wait_until
+from tests.standins.ports import free_ports
+from tests.standins.processes import wait_until
 
 TIMEOUT_S = 20
 
--- /dev/null
+++ b/tests/test_ports.py
@@ -0,0 +1,27 @@
+"""Ports for test processes that run beside each other."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.standins.ports import BLOCK_PORTS, PortBlocks
+
+
+class TestPortBlocks(unittest.TestCase):
+    """Two owners never hand out the same port, wherever they begin."""
+
+    def owner(self, first_block: int) -> PortBlocks:
+        blocks = PortBlocks(first_block)
+        self.addCleanup(blocks.close)
+        return blocks
+
+    def test_owners_that_begin_at_one_block_share_no_port(self) -> None:
+        one, two = self.owner(7), self.owner(7)
+        taken = [blocks.take() for blocks in (one, two) * (2 * BLOCK_PORTS)]
+        self.assertEqual(len(taken), len(set(taken)))
+
+    def test_a_block_is_free_again_once_its_owner_is_gone(self) -> None:
+        one = self.owner(9)
+        first = one.take()
+        one.close()
+        self.assertEqual(self.owner(9).take(), first)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -8,7 +8,8 @@
 from tests.standins.checker import faults_in_records
 from tests.standins.fleet import Fleet, Instance, InstancePlan, load_example
 from tests.standins.platform_server import PlatformControl
-from tests.standins.processes import free_ports, wait_until
+from tests.standins.ports import free_ports
+from tests.standins.processes import wait_until
 
 CONVERGENCE_TARGET_S = 6.0
 RESTART_TIMEOUT_S = 15.0
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -11,7 +11,7 @@
 from gypsumlock.model import EMPTY_REF
 from gypsumlock.peering import GrpcTransport, Report
 from gypsumlock.result_codes import ResultCode
-from tests.standins.processes import free_ports
+from tests.standins.ports import free_ports
 
 KEY = b"a key of no matter"
 REPORT = Report("127.0.0.1:1", EMPTY_REF, 0, 0, [], False)
