--- a/gypsumlock/mesh/feed_store.py
+++ b/gypsumlock/mesh/feed_store.py
@@ -51,10 +51,6 @@
     async def read_table(self, table: str) -> Result[TableChanges, Fault]:
         """Return all rows of a table."""
 
-    @abstractmethod
-    async def read_row(self, table: str, key: str) -> Result[FeedRow | None, Fault]:
-        """Return one row, or None when there is none."""
-
     @abstractmethod
     async def wait_changes(
         self, table: str, after: int, wait_s: float
--- /dev/null
+++ b/gypsumlock/mesh/frames.py
@@ -0,0 +1,141 @@
+"""Messages between nodes, and their framing: length-prefixed on one connection.
+
+gRPC carries the control messages of the product's own mesh; a call costs several
+times as much there, so calls have this framing, with msgspec as their codec.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+from abc import ABC, abstractmethod
+from typing import cast
+
+import msgspec
+
+from gypsumlock.mesh.feed_messages import (
+    ConfigChange,
+    ConfigWhole,
+    FeedBeat,
+    Follow,
+    RecordNews,
+)
+from gypsumlock.mesh.model import Answer, CallRequest, Failure, OwnerLoad, Refusal
+
+__all__ = [
+    "Cancel",
+    "FramedProtocol",
+    "LoadReport",
+    "Message",
+    "Ping",
+    "Pong",
+    "Withdraw",
+]
+
+MAX_FRAME_BYTES = 134_217_728
+_LENGTH = struct.Struct(">I")
+
+
+class Cancel(msgspec.Struct, array_like=True, tag=5):
+    """The caller gave a call up."""
+
+    number: int
+
+
+class Ping(msgspec.Struct, array_like=True, tag=6):
+    """Asks for a pong."""
+
+
+class Pong(msgspec.Struct, array_like=True, tag=7):
+    """Shows that the connection works."""
+
+
+class LoadReport(msgspec.Struct, array_like=True, tag=8):
+    """Load of the upstream, sent without being asked when it matters."""
+
+    load: OwnerLoad
+
+
+class Withdraw(msgspec.Struct, array_like=True, tag=9):
+    """Asks for the refusal of a call that has not reached the upstream yet."""
+
+    number: int
+
+
+Message = (
+    CallRequest
+    | Answer
+    | Refusal
+    | Failure
+    | Cancel
+    | Ping
+    | Pong
+    | LoadReport
+    | Withdraw
+    | Follow
+    | RecordNews
+    | ConfigChange
+    | ConfigWhole
+    | FeedBeat
+)
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
+
+
+class FramedProtocol(asyncio.Protocol, ABC):
+    """Cuts the byte stream into messages."""
+
+    __slots__ = ("_buffer", "heard_at_s", "loop", "transport")
+
+    def __init__(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.transport: asyncio.Transport | None = None
+        self.heard_at_s = self.loop.time()
+        self._buffer = bytearray()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes in and handle each whole message."""
+        self.heard_at_s = self.loop.time()
+        buffer = self._buffer
+        buffer += data
+        start = 0
+        while len(buffer) - start >= _LENGTH.size:
+            (size,) = _LENGTH.unpack_from(buffer, start)
+            if size > MAX_FRAME_BYTES:
+                self.abort()
+                return
+            end = start + _LENGTH.size + size
+            if len(buffer) < end:
+                break
+            try:
+                message = _DECODER.decode(memoryview(buffer)[start + 4 : end])
+            except (msgspec.DecodeError, msgspec.ValidationError):
+                self.abort()
+                return
+            start = end
+            self.handle_message(message)
+        if start:
+            del buffer[:start]
+
+    def send(self, message: Message) -> bool:
+        """Write a message; return False if the connection is closed."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return False
+        data = _ENCODER.encode(message)
+        transport.write(_LENGTH.pack(len(data)) + data)
+        return True
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    @abstractmethod
+    def handle_message(self, message: Message) -> None:
+        """Handle one message."""
--- a/gypsumlock/mesh/link.py
+++ b/gypsumlock/mesh/link.py
@@ -1,8 +1,4 @@
-"""Connections between nodes: length-prefixed messages over one TCP connection.
-
-Many calls share a connection. gRPC carries the control messages of the product's
-own mesh; a call costs several times as much there, so calls have this framing,
-with msgspec as their codec.
+"""Calls to other nodes; many of them share one connection.
 
 A connection that went silent is found by a ping: whoever waits for an answer and
 hears nothing for `PING_AFTER_S` asks. After `SUSPECT_S` the calls that may run twice
@@ -13,12 +9,15 @@
 from __future__ import annotations
 
 import asyncio
-import struct
-from abc import ABC, abstractmethod
-from typing import cast
-
-import msgspec
 
+from gypsumlock.mesh.frames import (
+    Cancel,
+    FramedProtocol,
+    LoadReport,
+    Message,
+    Ping,
+    Withdraw,
+)
 from gypsumlock.mesh.model import (
     Answer,
     CallOutcome,
@@ -31,7 +30,7 @@
 )
 from gypsumlock.result_codes import ResultCode
 
-__all__ = ["CallSink", "InboundLink", "LinkServer", "PeerLink"]
+__all__ = ["PeerLink"]
 
 CONNECT_TIMEOUT_S = 0.4
 PING_AFTER_S = 0.15
@@ -39,108 +38,6 @@
 SILENCE_S = 1.0
 TICK_S = 0.1
 PROBE_STEP_S = 0.02
-MAX_FRAME_BYTES = 134_217_728
-_LENGTH = struct.Struct(">I")
-
-
-class Cancel(msgspec.Struct, array_like=True, tag=5):
-    """The caller gave a call up."""
-
-    number: int
-
-
-class Ping(msgspec.Struct, array_like=True, tag=6):
-    """Asks for a pong."""
-
-
-class Pong(msgspec.Struct, array_like=True, tag=7):
-    """Shows that the connection works."""
-
-
-class LoadReport(msgspec.Struct, array_like=True, tag=8):
-    """Load of the upstream, sent without being asked when it matters."""
-
-    load: OwnerLoad
-
-
-class Withdraw(msgspec.Struct, array_like=True, tag=9):
-    """Asks for the refusal of a call that has not reached the upstream yet."""
-
-    number: int
-
-
-Message = (
-    CallRequest
-    | Answer
-    | Refusal
-    | Failure
-    | Cancel
-    | Ping
-    | Pong
-    | LoadReport
-    | Withdraw
-)
-
-_ENCODER = msgspec.msgpack.Encoder()
-_DECODER: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
-
-
-class FramedProtocol(asyncio.Protocol, ABC):
-    """Cuts the byte stream into messages."""
-
-    __slots__ = ("_buffer", "heard_at_s", "loop", "transport")
-
-    def __init__(self) -> None:
-        self.loop = asyncio.get_running_loop()
-        self.transport: asyncio.Transport | None = None
-        self.heard_at_s = self.loop.time()
-        self._buffer = bytearray()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
-        self.transport = cast(asyncio.Transport, transport)
-
-    def data_received(self, data: bytes) -> None:
-        """Take bytes in and handle each whole message."""
-        self.heard_at_s = self.loop.time()
-        buffer = self._buffer
-        buffer += data
-        start = 0
-        while len(buffer) - start >= _LENGTH.size:
-            (size,) = _LENGTH.unpack_from(buffer, start)
-            if size > MAX_FRAME_BYTES:
-                self.abort()
-                return
-            end = start + _LENGTH.size + size
-            if len(buffer) < end:
-                break
-            try:
-                message = _DECODER.decode(memoryview(buffer)[start + 4 : end])
-            except (msgspec.DecodeError, msgspec.ValidationError):
-                self.abort()
-                return
-            start = end
-            self.handle_message(message)
-        if start:
-            del buffer[:start]
-
-    def send(self, message: Message) -> bool:
-        """Write a message; return False if the connection is closed."""
-        transport = self.transport
-        if transport is None or transport.is_closing():
-            return False
-        data = _ENCODER.encode(message)
-        transport.write(_LENGTH.pack(len(data)) + data)
-        return True
-
-    def abort(self) -> None:
-        """Close the connection at once."""
-        if self.transport is not None:
-            self.transport.abort()
-
-    @abstractmethod
-    def handle_message(self, message: Message) -> None:
-        """Handle one message."""
 
 
 class _Waiting:
@@ -323,101 +220,3 @@
             protocol.pinged_at_s = now_s
             protocol.send(Ping())
         self._watch(protocol)
-
-
-class CallSink(ABC):
-    """Runs calls that other nodes send."""
-
-    @abstractmethod
-    async def run_call(self, request: CallRequest) -> CallOutcome:
-        """Carry a call to its outcome; cancelled when its caller gives it up."""
-
-    @abstractmethod
-    def withdraw(self, request: CallRequest) -> None:
-        """Refuse a call if it still waits for a slot."""
-
-
-class InboundLink(FramedProtocol):
-    """The owner's side of a connection."""
-
-    __slots__ = ("_requests", "_server", "_tasks")
-
-    def __init__(self, server: LinkServer) -> None:
-        super().__init__()
-        self._server = server
-        self._tasks: dict[int, asyncio.Task[None]] = {}
-        self._requests: dict[int, CallRequest] = {}
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Register the connection."""
-        super().connection_made(transport)
-        self._server.links.add(self)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Give up the calls of a caller that is gone."""
-        self._server.links.discard(self)
-        for task in self._tasks.values():
-            task.cancel()
-
-    def handle_message(self, message: Message) -> None:
-        """Start or cancel a call, or show that the connection works."""
-        if isinstance(message, CallRequest):
-            task = self.loop.create_task(self._run(message))
-            self._tasks[message.number] = task
-            self._requests[message.number] = message
-        elif isinstance(message, Cancel):
-            waiting = self._tasks.get(message.number)
-            if waiting is not None:
-                waiting.cancel()
-        elif isinstance(message, Withdraw):
-            request = self._requests.get(message.number)
-            if request is not None:
-                self._server.sink.withdraw(request)
-        elif isinstance(message, Ping):
-            self.send(Pong())
-
-    async def _run(self, request: CallRequest) -> None:
-        try:
-            outcome = await self._server.sink.run_call(request)
-            outcome.number = request.number
-            self.send(outcome)
-        finally:
-            self._tasks.pop(request.number, None)
-            self._requests.pop(request.number, None)
-
-
-class LinkServer:
-    """Accepts connections of other nodes.
-
-    Parameters
-    ----------
-    sink : CallSink
-        Runs the calls.
-    """
-
-    __slots__ = ("_server", "links", "sink")
-
-    def __init__(self, sink: CallSink) -> None:
-        self.sink = sink
-        self.links: set[InboundLink] = set()
-        self._server: asyncio.Server | None = None
-
-    async def start(self, address: str) -> None:
-        """Listen; raises OSError if the address is taken."""
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: InboundLink(self), host, int(port), backlog=1024, reuse_address=True
-        )
-
-    def stop(self) -> None:
-        """Accept no further connections, and close those that there are."""
-        if self._server is not None:
-            self._server.close()
-        for link in list(self.links):
-            link.abort()
-
-    def report(self, load: OwnerLoad) -> None:
-        """Tell all callers the load of the upstream."""
-        for link in list(self.links):
-            link.send(LoadReport(load))
--- /dev/null
+++ b/gypsumlock/mesh/link_server.py
@@ -0,0 +1,123 @@
+"""Takes calls of other nodes in, and hands them to the owner of the upstream."""
+
+from __future__ import annotations
+
+import asyncio
+
+from gypsumlock.mesh.call_sink import CallSink
+from gypsumlock.mesh.feed_messages import (
+    ConfigChange,
+    ConfigWhole,
+    FeedBeat,
+    Follow,
+    RecordNews,
+)
+from gypsumlock.mesh.feed_relay import FeedRelay, Follower
+from gypsumlock.mesh.frames import (
+    Cancel,
+    FramedProtocol,
+    LoadReport,
+    Message,
+    Ping,
+    Pong,
+    Withdraw,
+)
+from gypsumlock.mesh.model import CallRequest, OwnerLoad
+
+__all__ = ["InboundLink", "LinkServer"]
+
+
+class InboundLink(FramedProtocol, Follower):
+    """The owner's side of a connection."""
+
+    __slots__ = ("_requests", "_server", "_tasks")
+
+    def __init__(self, server: LinkServer) -> None:
+        super().__init__()
+        self._server = server
+        self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._requests: dict[int, CallRequest] = {}
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the connection."""
+        super().connection_made(transport)
+        self._server.links.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Give up the calls of a caller that is gone."""
+        self._server.links.discard(self)
+        self._server.relay.leave(self)
+        for task in self._tasks.values():
+            task.cancel()
+
+    def handle_message(self, message: Message) -> None:
+        """Start or cancel a call, or show that the connection works."""
+        if isinstance(message, CallRequest):
+            task = self.loop.create_task(self._run(message))
+            self._tasks[message.number] = task
+            self._requests[message.number] = message
+        elif isinstance(message, Cancel):
+            waiting = self._tasks.get(message.number)
+            if waiting is not None:
+                waiting.cancel()
+        elif isinstance(message, Withdraw):
+            request = self._requests.get(message.number)
+            if request is not None:
+                self._server.sink.withdraw(request)
+        elif isinstance(message, Follow):
+            self._server.relay.follow(self, message)
+        elif isinstance(message, Ping):
+            self.send(Pong())
+
+    def tell(self, message: RecordNews | ConfigChange | ConfigWhole | FeedBeat) -> None:
+        """Send news to the node that follows this one."""
+        self.send(message)
+
+    async def _run(self, request: CallRequest) -> None:
+        try:
+            outcome = await self._server.sink.run_call(request)
+            outcome.number = request.number
+            self.send(outcome)
+        finally:
+            self._tasks.pop(request.number, None)
+            self._requests.pop(request.number, None)
+
+
+class LinkServer:
+    """Accepts connections of other nodes.
+
+    Parameters
+    ----------
+    sink : CallSink
+        Runs the calls.
+    relay : FeedRelay
+        Keeps those up that follow this node.
+    """
+
+    __slots__ = ("_server", "links", "relay", "sink")
+
+    def __init__(self, sink: CallSink, relay: FeedRelay) -> None:
+        self.sink = sink
+        self.relay = relay
+        self.links: set[InboundLink] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, address: str) -> None:
+        """Listen; raises OSError if the address is taken."""
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: InboundLink(self), host, int(port), backlog=1024, reuse_address=True
+        )
+
+    def stop(self) -> None:
+        """Accept no further connections, and close those that there are."""
+        if self._server is not None:
+            self._server.close()
+        for link in list(self.links):
+            link.abort()
+
+    def report(self, load: OwnerLoad) -> None:
+        """Tell all callers the load of the upstream."""
+        for link in list(self.links):
+            link.send(LoadReport(load))
--- a/gypsumlock/mesh/model.py
+++ b/gypsumlock/mesh/model.py
@@ -139,6 +139,8 @@
     serving: bool = False
     # True once that incarnation said that it leaves.
     departed: bool = False
+    # Bandwidth of the machine's link in megabits a second; 0 if it is not known.
+    link_mbps: float = 0.0
 
 
 class OwnerLoad(msgspec.Struct, array_like=True):
--- a/gypsumlock/mesh/node.py
+++ b/gypsumlock/mesh/node.py
@@ -20,8 +20,11 @@
 from gypsumlock.logs import Part, part_log
 from gypsumlock.mesh.caller import STOP_CALLS_S, Caller
 from gypsumlock.mesh.directory import Directory
+from gypsumlock.mesh.feed_follower import FeedFollower
+from gypsumlock.mesh.feed_relay import FeedRelay
+from gypsumlock.mesh.fleet_feed import FleetFeed
 from gypsumlock.mesh.http_server import CallServer, HttpHandler
-from gypsumlock.mesh.link import LinkServer
+from gypsumlock.mesh.link_server import LinkServer
 from gypsumlock.mesh.owner import STOP_PEERS_S, Owner
 from gypsumlock.mesh.placement import Placement
 from gypsumlock.mesh.state import MeshState
@@ -55,9 +58,12 @@
     __slots__ = (
         "calls",
         "directory",
+        "feed",
+        "follower",
         "metrics",
         "owner",
         "peers",
+        "relay",
         "side_servers",
         "state",
     )
@@ -67,11 +73,15 @@
         self.metrics = Metrics()
         self.owner = Owner(state)
         self.directory = Directory(state, self.owner)
+        self.feed = FleetFeed(state, self.directory)
+        self.relay = FeedRelay(state, self.feed)
+        self.feed.listener = self.relay
         chance = random.Random()
+        self.follower = FeedFollower(state, self.feed, self.relay, chance)
         placement = Placement(state.zone, chance)
         caller = Caller(state, self.directory, placement, self.metrics, chance)
         self.calls = CallServer(caller)
-        self.peers = LinkServer(self.owner)
+        self.peers = LinkServer(self.owner, self.relay)
         # Readiness and heartbeats.
         self.side_servers: list[CallServer] = []
 
@@ -99,6 +109,8 @@
         async with anyio.create_task_group() as tasks:
             for controller in controllers:
                 tasks.start_soon(controller.run)
+            tasks.start_soon(self.relay.run)
+            tasks.start_soon(self.follower.run)
             tasks.start_soon(self.directory.probe_avoided)
             tasks.start_soon(self._recognise_upstream)
             log.info("node started", node=self.state.node, zone=self.state.zone)
--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -10,8 +10,8 @@
 
 from gypsumlock.logs import Part, part_log
 from gypsumlock.mesh.admission import AdmissionQueue, Ticket, TicketState, Verdict
+from gypsumlock.mesh.call_sink import CallSink
 from gypsumlock.mesh.http_text import encode_request, forwardable
-from gypsumlock.mesh.link import CallSink
 from gypsumlock.mesh.model import (
     Answer,
     CallOutcome,
--- a/gypsumlock/mesh/state.py
+++ b/gypsumlock/mesh/state.py
@@ -56,6 +56,8 @@
         Names of the headers that the data path uses.
     bounds : MeshBounds
         Bounds that the users set.
+    link_mbps : float
+        Bandwidth of the machine's link in megabits a second; 0 if it is not known.
     """
 
     __slots__ = (
@@ -65,6 +67,7 @@
         "directory_known",
         "ending",
         "headers",
+        "link_mbps",
         "node",
         "registry",
         "restored",
@@ -83,6 +86,7 @@
         addresses: NodeAddresses,
         headers: HeaderNames,
         bounds: MeshBounds,
+        link_mbps: float = 0.0,
     ) -> None:
         self.node = node
         self.zone = zone
@@ -90,6 +94,7 @@
         self.addresses = addresses
         self.headers = headers
         self.bounds = bounds
+        self.link_mbps = link_mbps
         self.registry = UpstreamRegistry(addresses.upstream)
         # Set whenever the node's own record has to be published again.
         self.upstream_changed = asyncio.Event()
--- a/gypsumlock/mesh/upstream_connection.py
+++ b/gypsumlock/mesh/upstream_connection.py
@@ -16,7 +16,13 @@
 
 from gypsumlock.http_headers import Headers, find_header
 
-__all__ = ["ConnectFailed", "ExchangeFailed", "UpstreamAnswer", "UpstreamPool"]
+__all__ = [
+    "ConnectFailed",
+    "ExchangeFailed",
+    "SilenceBound",
+    "UpstreamAnswer",
+    "UpstreamPool",
+]
 
 CONNECT_TIMEOUT_S = 0.5
 # Idle time after which a connection isn't used again, as a share of the time
@@ -54,6 +60,15 @@
         return find_header(self.headers, name)
 
 
+@dataclass(frozen=True, slots=True)
+class SilenceBound:
+    """Bounds on the time without a byte of an answer, in seconds."""
+
+    # Until the first byte, and between two of them.
+    first_s: float
+    later_s: float
+
+
 class UpstreamConnection(asyncio.Protocol):
     """Client side of one connection, for one call at a time."""
 
@@ -68,6 +83,8 @@
         "_matches",
         "_method",
         "_parser",
+        "_silence",
+        "_silence_end",
         "_status",
         "_transport",
         "_until_close",
@@ -92,6 +109,8 @@
         self._headers: Headers = []
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._silence: SilenceBound | None = None
+        self._silence_end: asyncio.TimerHandle | None = None
         self.idle_since_s = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
 
@@ -104,6 +123,8 @@
         if self._waiter is None or self._waiter.done():
             self.close()
             return
+        if self._silence is not None:
+            self._bound_silence(self._silence.later_s)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -130,7 +151,11 @@
         self._fail("connection closed")
 
     async def exchange(
-        self, method: bytes, call_id: bytes, data: bytes
+        self,
+        method: bytes,
+        call_id: bytes,
+        data: bytes,
+        silence: SilenceBound | None = None,
     ) -> UpstreamAnswer:
         """Send one call and wait for its whole answer.
 
@@ -142,6 +167,8 @@
             Identifier that the answer must echo; empty accepts any answer.
         data : bytes
             The encoded call.
+        silence : SilenceBound | None
+            How long nothing may be heard; None leaves that to the caller.
 
         Raises
         ------
@@ -160,11 +187,17 @@
         self._parser = httptools.HttpResponseParser(self)
         self._waiter = asyncio.get_running_loop().create_future()
         transport.write(data)
+        self._silence = silence
+        if silence is not None:
+            self._bound_silence(silence.first_s)
         try:
             return await self._waiter
         except asyncio.CancelledError:
             self.close()
             raise
+        finally:
+            self._silence = None
+            self._end_silence()
 
     def reusable(self) -> bool:
         """Tell whether a further call may use the connection."""
@@ -228,6 +261,17 @@
         if not self._complete and self._status >= 200 and self._matches:
             self._end_answer()
 
+    def _bound_silence(self, limit_s: float) -> None:
+        """Fail the call unless a byte arrives in time."""
+        self._end_silence()
+        loop = asyncio.get_running_loop()
+        self._silence_end = loop.call_later(limit_s, self._fail, "silence")
+
+    def _end_silence(self) -> None:
+        if self._silence_end is not None:
+            self._silence_end.cancel()
+            self._silence_end = None
+
     def _start_answer(self) -> None:
         self._matches = False
         self._until_close = False
--- a/gypsumlock/mesh/watchers.py
+++ b/gypsumlock/mesh/watchers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from abc import abstractmethod
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import anyio
 import msgspec
@@ -11,10 +11,10 @@
 
 from gypsumlock.controller import Backoff, Controller
 from gypsumlock.logs import Part, part_log
-from gypsumlock.mesh.directory import Directory
+from gypsumlock.mesh.feed_messages import RecordRow
 from gypsumlock.mesh.feed_store import FeedRow, FeedStore, TableChanges
+from gypsumlock.mesh.fleet_feed import FleetFeed, TableCursor
 from gypsumlock.mesh.model import MeshConfig, UpstreamRecord
-from gypsumlock.mesh.route_table import RouteTable
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.result_codes import Fault, ResultCode
 
@@ -25,25 +25,34 @@
 # Table of the nodes' records.
 RECORD_TABLE = "gypsumlock-nodes"
 # Longest wait for changes, in seconds. A store that fails silently swallows the call
-# that waits there, and nobody is told once it is back: the wait for a version is
-# short enough for that to be noticed in time.
-CONFIG_WAIT_S = 3.0
-RECORD_WAIT_S = 6.0
+# that waits there, and nobody is told once it is back: the wait is short enough for
+# that to be noticed in time.
+WAIT_S = 1.5
 # Changes are collected for so long before the store is asked again: the store is
 # called once for many changes.
-CONFIG_BATCH_S = 0.6
-RECORD_BATCH_S = 0.6
-# Bounds of the delay after a failed call to the store, in seconds.
-RETRY_BASE_S = 0.2
-RETRY_MAX_S = 0.8
+BATCH_S = 0.5
+# Bounds of the delay after a failed call to the store, in seconds: for nodes that
+# others rely on, and for all others, so that a store that is down isn't asked by
+# every node all the time.
+READER_RETRY_BASE_S = 0.2
+READER_RETRY_MAX_S = 0.8
+RETRY_BASE_S = 0.6
+RETRY_MAX_S = 1.6
+# Time for which a node that has just started waits for other nodes to hand a version
+# over, in seconds.
+HANDOVER_S = 0.5
 # Shortest time between two writes of the own record, in seconds.
 PUBLISH_GAP_S = 0.2
+# Time between two looks whether the records were read, in seconds.
+RESTORE_STEP_S = 0.02
 
 Decode = Callable[[bytes], Result[MeshConfig, Fault]]
 
 
 class TableWatcher(Controller):
-    """Keeps up with one table: reads it whole, then waits for changes.
+    """Keeps up with one table while the node is to read the store.
+
+    It reads the table whole, then waits for changes.
 
     Parameters
     ----------
@@ -51,55 +60,67 @@
         The store.
     table : str
         Name of the table.
-    wait_s : float
-        Longest wait for changes, in seconds.
-    batch_s : float
-        Time for which changes are collected, in seconds.
+    feed : FleetFeed
+        What the node knows.
+    cursor : TableCursor
+        How far the table was followed; other nodes may move it on.
     """
 
     def __init__(
-        self, store: FeedStore, table: str, wait_s: float, batch_s: float
+        self, store: FeedStore, table: str, feed: FleetFeed, cursor: TableCursor
     ) -> None:
         self._store = store
         self._table = table
-        self._wait_s = wait_s
-        self._batch_s = batch_s
+        self._feed = feed
+        self._cursor = cursor
+        self._reader_backoff = Backoff(READER_RETRY_BASE_S, READER_RETRY_MAX_S)
         self._backoff = Backoff(RETRY_BASE_S, RETRY_MAX_S)
-        self._reachable = True
-        # Version of the store up to which everything was taken in.
-        self._version = 0
+        # True when the changes since the last look are no longer to be had.
+        self._history_lost = False
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
+        await self._before_first_read()
         while True:
-            whole = await self._store.read_table(self._table)
-            if isinstance(whole, Err):
-                await self._wait_after(whole.err_value)
-                continue
-            self._note_reachable()
-            # A read that is older than what was seen would take changes back.
-            if whole.ok_value.version >= self._version:
-                self._version = whole.ok_value.version
-                self.replace(whole.ok_value)
-            await self._follow()
-
-    async def _follow(self) -> None:
-        """Take changes in until the store has lost its history."""
-        while True:
-            # A store that failed is asked for what it has, not for what may come.
-            wait_s = self._wait_s if self._reachable else 0.0
-            changes = await self._store.wait_changes(self._table, self._version, wait_s)
-            if isinstance(changes, Err):
-                if changes.err_value.code is ResultCode.PLATFORM_HISTORY_LOST:
-                    log.info("store lost its history", table=self._table)
-                    return
-                await self._wait_after(changes.err_value)
-                continue
-            self._note_reachable()
-            self._version = max(self._version, changes.ok_value.version)
-            if changes.ok_value.rows:
-                self.apply(changes.ok_value)
-                await anyio.sleep(self._batch_s)
+            await self._feed.read_store.wait()
+            if self._cursor.known and not self._history_lost:
+                await self._wait_for_changes()
+            else:
+                await self._read_whole()
+
+    async def _before_first_read(self) -> None:
+        """Wait for what makes the first read of the whole table needless."""
+
+    async def _read_whole(self) -> None:
+        whole = await self._store.read_table(self._table)
+        if isinstance(whole, Err):
+            await self._wait_after(whole.err_value)
+            return
+        self._note_reachable()
+        self._history_lost = False
+        # A read that is older than what was seen would take changes back.
+        if whole.ok_value.version >= self._cursor.upto:
+            self.replace(whole.ok_value)
+            self._cursor.advance(whole.ok_value.version)
+
+    async def _wait_for_changes(self) -> None:
+        # A store that failed is asked for what it has, not for what may come.
+        wait_s = WAIT_S if self._cursor.reachable else 0.0
+        after = self._cursor.upto
+        changes = await self._store.wait_changes(self._table, after, wait_s)
+        if isinstance(changes, Err):
+            if changes.err_value.code is ResultCode.PLATFORM_HISTORY_LOST:
+                log.info("store lost its history", table=self._table)
+                self._history_lost = True
+                return
+            await self._wait_after(changes.err_value)
+            return
+        self._note_reachable()
+        if changes.ok_value.rows:
+            self.apply(changes.ok_value)
+        self._cursor.advance(changes.ok_value.version)
+        if changes.ok_value.rows:
+            await anyio.sleep(BATCH_S)
 
     @abstractmethod
     def replace(self, whole: TableChanges) -> None:
@@ -110,15 +131,17 @@
         """Take changed rows in."""
 
     async def _wait_after(self, fault: Fault) -> None:
-        if self._reachable:
-            self._reachable = False
+        if self._cursor.reachable:
+            self._cursor.reachable = False
             log.warning("store lost", table=self._table, reason=fault.text())
-        await self._backoff.wait()
+        is_reader = self._feed.is_reader
+        await (self._reader_backoff if is_reader else self._backoff).wait()
 
     def _note_reachable(self) -> None:
         self._backoff.reset()
-        if not self._reachable:
-            self._reachable = True
+        self._reader_backoff.reset()
+        if not self._cursor.reachable:
+            self._cursor.reachable = True
             log.info("store regained", table=self._table)
 
 
@@ -129,8 +152,8 @@
     ----------
     store : FeedStore
         The store.
-    state : MeshState
-        The node's blackboard.
+    feed : FleetFeed
+        What the node knows.
     table, key : str
         Row with the newest version.
     decode : Callable[[bytes], Result[MeshConfig, Fault]]
@@ -138,13 +161,17 @@
     """
 
     def __init__(
-        self, store: FeedStore, state: MeshState, table: str, key: str, decode: Decode
+        self, store: FeedStore, feed: FleetFeed, table: str, key: str, decode: Decode
     ) -> None:
-        super().__init__(store, table, CONFIG_WAIT_S, CONFIG_BATCH_S)
-        self._state = state
+        super().__init__(store, table, feed, feed.config_cursor)
         self._key = key
         self._decode = decode
 
+    async def _before_first_read(self) -> None:
+        """Let nodes that have the version hand it over: that is far less to send."""
+        with anyio.move_on_after(HANDOVER_S):
+            await self._feed.handover_over.wait()
+
     def replace(self, whole: TableChanges) -> None:
         """Take the whole table in."""
         self.apply(whole)
@@ -160,58 +187,44 @@
         if isinstance(decoded, Err):
             log.error("configuration refused", reason=decoded.err_value.text())
             return
-        config = decoded.ok_value
-        before = self._state.table.version if self._state.table else 0
-        if self._state.put_in_force(RouteTable(config)):
-            log.info(
-                "configuration in force",
-                version=config.version,
-                before=before,
-                routes=len(config.routes),
-            )
+        self._feed.take_config(decoded.ok_value, "store")
 
 
 class RecordWatcher(TableWatcher):
-    """Keeps the directory up with the records of all nodes."""
+    """Keeps up with the records of all nodes.
 
-    def __init__(
-        self, store: FeedStore, state: MeshState, directory: Directory
-    ) -> None:
-        super().__init__(store, RECORD_TABLE, RECORD_WAIT_S, RECORD_BATCH_S)
+    Parameters
+    ----------
+    store : FeedStore
+        The store.
+    state : MeshState
+        The node's blackboard.
+    feed : FleetFeed
+        What the node knows.
+    """
+
+    def __init__(self, store: FeedStore, state: MeshState, feed: FleetFeed) -> None:
+        super().__init__(store, RECORD_TABLE, feed, feed.records_cursor)
         self._state = state
-        self._directory = directory
-        # Records and the versions of their rows, by the name of their node.
-        self._records: dict[str, tuple[int, UpstreamRecord]] = {}
 
     def replace(self, whole: TableChanges) -> None:
-        """Take the whole table in."""
-        self._records.clear()
+        """Take the whole table in, and forget rows that are gone."""
         self.apply(whole)
+        there = {row.key for row in whole.rows}
+        gone = [node for node in self._feed.records if node not in there]
+        self._feed.drop_records(gone, whole.version)
         self._state.directory_known = True
 
     def apply(self, changes: TableChanges) -> None:
         """Take changed records in."""
+        rows: list[RecordRow] = []
         for row in changes.rows:
             record = decode_record(row)
             if record is None:
-                self._records.pop(row.key, None)
+                self._feed.drop_records([row.key], row.version)
             else:
-                self._records[row.key] = (row.version, record)
-        self._directory.update(newest_by_address(self._records.values()))
-
-
-def newest_by_address(
-    records: Iterable[tuple[int, UpstreamRecord]],
-) -> dict[str, UpstreamRecord]:
-    """Return the newest record of each address, by the name of its node.
-
-    A machine that is gone leaves its row behind, and its address goes to another.
-    """
-    newest = {
-        record.peer_address: record
-        for _, record in sorted(records, key=lambda item: item[0])
-    }
-    return {record.node: record for record in newest.values()}
+                rows.append(RecordRow(row.version, record))
+        self._feed.take_records(rows)
 
 
 def decode_record(row: FeedRow) -> UpstreamRecord | None:
@@ -233,16 +246,17 @@
     takes effect late never undoes a newer one.
     """
 
-    def __init__(self, store: FeedStore, state: MeshState) -> None:
+    def __init__(self, store: FeedStore, state: MeshState, feed: FleetFeed) -> None:
         self._store = store
         self._state = state
+        self._feed = feed
         self._version = 0
         self._published: UpstreamRecord | None = None
 
     async def run(self) -> None:
         """Publish each change until cancelled."""
         await self._restore()
-        backoff = Backoff(RETRY_BASE_S, RETRY_MAX_S)
+        backoff = Backoff(READER_RETRY_BASE_S, READER_RETRY_MAX_S)
         while True:
             await self._state.upstream_changed.wait()
             self._state.upstream_changed.clear()
@@ -259,11 +273,17 @@
         known = self._state.registry.current
         state = self._state
         if known is None:
-            return UpstreamRecord(state.node, state.addresses.peers, state.zone)
+            return UpstreamRecord(
+                node=state.node,
+                peer_address=state.addresses.peers,
+                zone=state.zone,
+                link_mbps=state.link_mbps,
+            )
         return UpstreamRecord(
             node=state.node,
             peer_address=state.addresses.peers,
             zone=state.zone,
+            link_mbps=state.link_mbps,
             service=known.service,
             instance=known.instance,
             born_ms=known.born_ms,
@@ -273,19 +293,15 @@
         )
 
     async def _restore(self) -> None:
-        """Read what an earlier process at this node published."""
-        backoff = Backoff(RETRY_BASE_S, RETRY_MAX_S)
-        while True:
-            read = await self._store.read_row(RECORD_TABLE, self._state.node)
-            if not isinstance(read, Err):
-                break
-            await backoff.wait()
-        row = read.ok_value
+        """Take over what an earlier process at this node published."""
+        while not self._state.directory_known:
+            await anyio.sleep(RESTORE_STEP_S)
+        row = self._feed.records.get(self._state.node)
         if row is not None:
-            self._version = row.version
-            self._published = decode_record(row)
-            if self._published is not None and self._published.departed:
-                left = self._published
+            self._version = row.row_version
+            self._published = row.record
+            if row.record.departed:
+                left = row.record
                 self._state.registry.restore_departed(left.instance, left.born_ms)
         self._state.restored.set_result(self._published)
 
--- a/gypsumlock/platform/daemon.py
+++ b/gypsumlock/platform/daemon.py
@@ -60,13 +60,14 @@
         addresses=settings.addresses,
         headers=HEADER_NAMES,
         bounds=settings.bounds,
+        link_mbps=settings.link_mbps,
     )
     node = MeshNode(state)
     store = PlatformStore(settings.store_address)
     controllers: list[Controller] = [
-        ConfigWatcher(store, state, CONFIG_TABLE, CONFIG_KEY, decode_config),
-        RecordWatcher(store, state, node.directory),
-        RecordPublisher(store, state),
+        ConfigWatcher(store, node.feed, CONFIG_TABLE, CONFIG_KEY, decode_config),
+        RecordWatcher(store, state, node.feed),
+        RecordPublisher(store, state, node.feed),
         SettingsWatcher(path, state),
     ]
     stop_requested = asyncio.Event()
--- a/gypsumlock/platform/settings.py
+++ b/gypsumlock/platform/settings.py
@@ -21,12 +21,18 @@
 SETTINGS_VARIABLE = "GYPSUMLOCK_CONFIG"
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    # Bandwidth of the machine's own link, in megabits a second.
+    link_mbps: float = 0.0
+
+
 class _SelfNode(msgspec.Struct, frozen=True):
     node_name: str
     zone: str
     # The upstream beside the node, as `IP:port`, and its service.
     app_addr: str
     service: str
+    limits: _Limits = _Limits()
 
 
 class _Listen(msgspec.Struct, frozen=True):
@@ -80,6 +86,7 @@
     addresses: NodeAddresses
     store_address: str
     bounds: MeshBounds
+    link_mbps: float
 
 
 def load_settings(path: Path) -> Result[PlatformSettings, Fault]:
@@ -130,5 +137,6 @@
                 retry_allowance=bounds.retry_slack,
                 retry_window_s=bounds.retry_window_s,
             ),
+            link_mbps=file.self_node.limits.link_mbps,
         )
     )
--- a/gypsumlock/platform/store_client.py
+++ b/gypsumlock/platform/store_client.py
@@ -6,7 +6,6 @@
 from typing import TypeVar
 from urllib.parse import urlencode
 
-import anyio
 import msgspec
 from result import Err, Ok, Result
 
@@ -14,6 +13,7 @@
 from gypsumlock.mesh.upstream_connection import (
     ConnectFailed,
     ExchangeFailed,
+    SilenceBound,
     UpstreamAnswer,
     UpstreamPool,
 )
@@ -24,8 +24,9 @@
 T = TypeVar("T")
 _Query = dict[str, str | int]
 
-# Bound on one call beside the time that the store itself is asked to wait.
-CALL_TIMEOUT_S = 1.0
+# Longest silence of the store beside the time that it is asked to wait, in seconds.
+# A large answer may take longer on a narrow link, as long as it goes on arriving.
+SILENCE_S = 1.0
 # Rows that the store gives in one answer.
 PAGE_ROWS = 500
 STATUS_OK = 200
@@ -110,17 +111,6 @@
                 return Ok(TableChanges(tuple(rows), version))
             start = found.rows[-1].key + "\0"
 
-    async def read_row(self, table: str, key: str) -> Result[FeedRow | None, Fault]:
-        """Return one row, or None when there is none."""
-        query: _Query = {"table": table, "part": "", "from": key, "limit": 1}
-        page = await self._read("/-/rows-get", query, 0.0)
-        if isinstance(page, Err):
-            return page
-        for row in page.ok_value.rows:
-            if row.key == key:
-                return Ok(_feed_row(row))
-        return Ok(None)
-
     async def wait_changes(
         self, table: str, after: int, wait_s: float
     ) -> Result[TableChanges, Fault]:
@@ -186,13 +176,15 @@
         try:
             connection = await self._pool.acquire(repeatable=True)
             try:
-                with anyio.fail_after(CALL_TIMEOUT_S + wait_s):
-                    answer = await connection.exchange(
-                        method.encode(), b"", head.encode() + body
-                    )
+                answer = await connection.exchange(
+                    method.encode(),
+                    b"",
+                    head.encode() + body,
+                    SilenceBound(SILENCE_S + wait_s, SILENCE_S),
+                )
             finally:
                 self._pool.release(connection)
-        except (TimeoutError, ConnectFailed, ExchangeFailed) as error:
+        except (ConnectFailed, ExchangeFailed) as error:
             found = f"{method} {target}: {type(error).__name__} {error}"
             return Err(Fault(ResultCode.PLATFORM_UNREACHABLE, found))
         return Ok(answer)
--- a/gypsumlock/routing/subset.py
+++ b/gypsumlock/routing/subset.py
@@ -6,11 +6,10 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections.abc import Sequence
-from functools import lru_cache
 
 from gypsumlock.model import Endpoint, NodeIdentity
+from gypsumlock.pair_hash import pair_score
 
 __all__ = ["subset_of"]
 
@@ -26,7 +25,7 @@
         return (
             endpoint.zone != node.zone,
             endpoint.region != node.region,
-            _score(node.address, endpoint.call_address),
+            pair_score(node.address, endpoint.call_address),
         )
 
     ranked = sorted(endpoints, key=rank)
@@ -36,9 +35,3 @@
     chosen = near + far[: size - len(near)]
     left = [e for e in ranked if e not in chosen]
     return chosen + left[: size - len(chosen)]
-
-
-@lru_cache(maxsize=8192)
-def _score(node_address: str, call_address: str) -> bytes:
-    pair = f"{node_address}|{call_address}".encode()
-    return hashlib.blake2b(pair, digest_size=8).digest()
--- a/tests/standins/feed_store.py
+++ b/tests/standins/feed_store.py
@@ -58,12 +58,6 @@
             return _unreachable()
         return Ok(TableChanges(tuple(self.tables[table].values()), self.version))
 
-    async def read_row(self, table: str, key: str) -> Result[FeedRow | None, Fault]:
-        self.calls += 1
-        if self.down:
-            return _unreachable()
-        return Ok(self.tables[table].get(key))
-
     async def wait_changes(
         self, table: str, after: int, wait_s: float
     ) -> Result[TableChanges, Fault]:
--- a/tests/standins/mesh_fleet.py
+++ b/tests/standins/mesh_fleet.py
@@ -198,9 +198,9 @@
         state = place.node.state
         await place.node.listen(_Ready(state), _Ready(state))
         controllers = [
-            ConfigWatcher(self.store, state, "op", "config", _decode),
-            RecordWatcher(self.store, state, place.node.directory),
-            RecordPublisher(self.store, state),
+            ConfigWatcher(self.store, place.node.feed, "op", "config", _decode),
+            RecordWatcher(self.store, state, place.node.feed),
+            RecordPublisher(self.store, state, place.node.feed),
         ]
         place.task = asyncio.create_task(place.node.run(controllers, place.stop))
 
