Tell a reader that hears from the store from one that only waits, and test the feed

Change: a node that begins to read the store counts as fresh only after an answer; a node that neither the store nor its zone's readers tell anything follows one more node of its zone; a start waits 0.6 s for other nodes before it asks the store for a version.

--- a/gypsumlock/mesh/feed_follower.py
+++ b/gypsumlock/mesh/feed_follower.py
@@ -27,6 +27,7 @@
 from gypsumlock.mesh.feed_sources import readers_of_zone, sources_of
 from gypsumlock.mesh.fleet_feed import FleetFeed
 from gypsumlock.mesh.frames import FramedProtocol, Message
+from gypsumlock.mesh.model import UpstreamRecord
 from gypsumlock.mesh.state import MeshState
 
 __all__ = ["FeedFollower"]
@@ -37,6 +38,8 @@
 FOLLOWED_SOURCES = 2
 # Time without a beat after which a source is given up: three beats and a half.
 SILENT_S = 1.4
+# Time for which a source that doesn't hear from the store is kept, in seconds.
+STALE_S = 2.0
 CONNECT_TIMEOUT_S = 0.5
 TICK_S = 0.2
 # Time for which a source that failed isn't asked again: first and longest, seconds.
@@ -62,7 +65,7 @@
 class _Source(FramedProtocol):
     """Connection to one node that is followed."""
 
-    __slots__ = ("_feed", "_repair_at_s", "beat", "closed", "node")
+    __slots__ = ("_feed", "_fresh_at_s", "_repair_at_s", "beat", "closed", "node")
 
     def __init__(self, node: str, feed: FleetFeed) -> None:
         super().__init__()
@@ -70,6 +73,7 @@
         self._feed = feed
         self.beat: FeedBeat | None = None
         self.closed = False
+        self._fresh_at_s = self.loop.time()
         self._repair_at_s = 0.0
 
     def ask(self) -> None:
@@ -86,6 +90,10 @@
         """Tell whether the source hears from the store."""
         return self.beat is not None and self.beat.fresh and not self.is_silent()
 
+    def is_stale(self) -> bool:
+        """Tell whether the source has not heard from the store for long."""
+        return self.loop.time() - self._fresh_at_s > STALE_S
+
     def handle_message(self, message: Message) -> None:
         """Take news in."""
         if isinstance(message, RecordNews):
@@ -113,6 +121,8 @@
 
     def _take_beat(self, beat: FeedBeat) -> None:
         self.beat = beat
+        if beat.fresh:
+            self._fresh_at_s = self.loop.time()
         feed = self._feed
         if beat.records_upto and feed.records_cursor.known:
             feed.records_cursor.advance(beat.records_upto)
@@ -169,16 +179,19 @@
 
     async def _tick(self) -> None:
         self._drop_silent()
-        readers = readers_of_zone(self._feed.newest_records(), self._state.zone)
+        records = self._feed.newest_records()
+        readers = readers_of_zone(records, self._state.zone)
         wanted = self._wanted(sources_of(self._state.node, readers))
-        if not wanted:
-            self._feed.handover_over.set()
+        if self._is_isolated(readers):
+            wanted += self._helpers(records, readers)
         for node in list(self._sources):
             if node not in wanted:
                 self._sources.pop(node).abort()
         missing = [node for node in wanted if node not in self._sources]
         await asyncio.gather(*(self._connect(node) for node in missing))
         self._decide(readers)
+        if not self._sources or self._any_fresh():
+            self._feed.sources_settled.set()
 
     def _wanted(self, candidates: list[str]) -> list[str]:
         now_s = asyncio.get_running_loop().time()
@@ -187,20 +200,43 @@
         }
         return [x for x in candidates if x not in barred][:FOLLOWED_SOURCES]
 
+    def _is_isolated(self, readers: list[str]) -> bool:
+        """Tell whether neither the store nor the readers tell anything new."""
+        if self._feed.hears_from_store():
+            return False
+        fresh = (x.is_fresh() for x in self._sources.values() if x.node in readers)
+        return self._feed.read_store.is_set() and not any(fresh)
+
+    def _any_fresh(self) -> bool:
+        return any(source.is_fresh() for source in self._sources.values())
+
+    def _helpers(self, records: list[UpstreamRecord], readers: list[str]) -> list[str]:
+        """Return a node that may hear from the store though the readers don't."""
+        others = [x.node for x in records if x.serving and x.node not in readers]
+        return self._wanted(sources_of(self._state.node, others))[:1]
+
     def _drop_silent(self) -> None:
         for node, source in list(self._sources.items()):
             if source.is_silent():
                 source.abort()
                 del self._sources[node]
                 self._penalise(node)
-            elif source.beat is not None:
+            elif source.is_fresh():
                 self._penalties.pop(node, None)
+            elif source.is_stale():
+                # Another one may hear from the store.
+                source.abort()
+                del self._sources[node]
+                self._bar(node, FIRST_PENALTY_S)
 
     def _penalise(self, node: str) -> None:
         last = self._penalties.get(node)
         length_s = FIRST_PENALTY_S
         if last is not None:
             length_s = min(MAX_PENALTY_S, 2 * last.length_s)
+        self._bar(node, length_s)
+
+    def _bar(self, node: str, length_s: float) -> None:
         until_s = asyncio.get_running_loop().time() + length_s
         self._penalties[node] = _Penalty(until_s, length_s)
         log.info("source lost", source=node, not_asked_s=length_s)
@@ -225,7 +261,7 @@
         """Set or clear `read_store`."""
         must = self._state.node in readers or self._relay.followed
         self._feed.is_reader = must
-        if must or any(source.is_fresh() for source in self._sources.values()):
+        if must or self._any_fresh():
             self._turn_at_s = None
             self._set_read_store(must)
             return
@@ -241,6 +277,7 @@
             return
         log.info("store read by this node", read=read, sources=sorted(self._sources))
         if read:
+            self._feed.begin_reading()
             event.set()
         else:
             event.clear()
--- a/gypsumlock/mesh/feed_relay.py
+++ b/gypsumlock/mesh/feed_relay.py
@@ -131,10 +131,8 @@
 
     def _beat(self) -> FeedBeat:
         feed = self._feed
-        cursors = (feed.config_cursor, feed.records_cursor)
-        fresh = feed.read_store.is_set() and not self._state.stopping
         return FeedBeat(
-            fresh=fresh and all(x.known and x.reachable for x in cursors),
+            fresh=feed.hears_from_store() and not self._state.stopping,
             config_version=feed.config_version,
             config_upto=feed.config_cursor.upto,
             records_upto=feed.records_cursor.upto,
--- a/gypsumlock/mesh/fleet_feed.py
+++ b/gypsumlock/mesh/fleet_feed.py
@@ -27,7 +27,7 @@
 class TableCursor:
     """How far one table of the store was followed."""
 
-    __slots__ = ("known", "reachable", "upto")
+    __slots__ = ("confirmed", "known", "reachable", "upto")
 
     def __init__(self) -> None:
         # True once the whole table was taken in.
@@ -36,6 +36,8 @@
         self.upto = 0
         # False since a call to the store about this table failed.
         self.reachable = True
+        # True once the store has answered since this node began to read it.
+        self.confirmed = False
 
     def advance(self, version: int) -> None:
         """Note that nothing up to a version is missing."""
@@ -70,12 +72,12 @@
         "_directory",
         "_state",
         "config_cursor",
-        "handover_over",
         "is_reader",
         "listener",
         "read_store",
         "records",
         "records_cursor",
+        "sources_settled",
     )
 
     def __init__(self, state: MeshState, directory: Directory) -> None:
@@ -91,8 +93,8 @@
         # Set while this node is to read the store itself.
         self.read_store = asyncio.Event()
         self.read_store.set()
-        # Set once no other node is expected to hand a first version over.
-        self.handover_over = asyncio.Event()
+        # Set once the first sources have answered, or none is expected to.
+        self.sources_settled = asyncio.Event()
 
     @property
     def config(self) -> MeshConfig | None:
@@ -106,6 +108,18 @@
         table = self._state.table
         return table.version if table else 0
 
+    def begin_reading(self) -> None:
+        """Note that what was known of the store is from before a pause."""
+        self.config_cursor.confirmed = False
+        self.records_cursor.confirmed = False
+
+    def hears_from_store(self) -> bool:
+        """Tell whether the store answers this node about both tables."""
+        cursors = (self.config_cursor, self.records_cursor)
+        return self.read_store.is_set() and all(
+            x.known and x.reachable and x.confirmed for x in cursors
+        )
+
     def take_config(self, config: MeshConfig, source: str) -> bool:
         """Put a version in force; return False for one that isn't newer.
 
@@ -126,7 +140,6 @@
             routes=len(config.routes),
             source=source,
         )
-        self.handover_over.set()
         if self.listener is not None:
             self.listener.on_config(before, config)
         return True
--- a/gypsumlock/mesh/watchers.py
+++ b/gypsumlock/mesh/watchers.py
@@ -38,9 +38,9 @@
 READER_RETRY_MAX_S = 0.8
 RETRY_BASE_S = 0.6
 RETRY_MAX_S = 1.6
-# Time for which a node that has just started waits for other nodes to hand a version
-# over, in seconds.
-HANDOVER_S = 0.5
+# Time for which a node that has just started waits for other nodes to tell what they
+# know, in seconds.
+SETTLE_S = 0.6
 # Shortest time between two writes of the own record, in seconds.
 PUBLISH_GAP_S = 0.2
 # Time between two looks whether the records were read, in seconds.
@@ -91,6 +91,11 @@
     async def _before_first_read(self) -> None:
         """Wait for what makes the first read of the whole table needless."""
 
+    async def _wait_for_sources(self) -> None:
+        """Wait for other nodes to tell what the store would be asked for."""
+        with anyio.move_on_after(SETTLE_S):
+            await self._feed.sources_settled.wait()
+
     async def _read_whole(self) -> None:
         whole = await self._store.read_table(self._table)
         if isinstance(whole, Err):
@@ -102,10 +107,12 @@
         if whole.ok_value.version >= self._cursor.upto:
             self.replace(whole.ok_value)
             self._cursor.advance(whole.ok_value.version)
+        await self._wait_for_sources()
 
     async def _wait_for_changes(self) -> None:
-        # A store that failed is asked for what it has, not for what may come.
-        wait_s = WAIT_S if self._cursor.reachable else 0.0
+        # A store that failed, or was not asked for a while, is asked for what it
+        # has, not for what may come.
+        wait_s = WAIT_S if self._cursor.reachable and self._cursor.confirmed else 0.0
         after = self._cursor.upto
         changes = await self._store.wait_changes(self._table, after, wait_s)
         if isinstance(changes, Err):
@@ -140,6 +147,7 @@
     def _note_reachable(self) -> None:
         self._backoff.reset()
         self._reader_backoff.reset()
+        self._cursor.confirmed = True
         if not self._cursor.reachable:
             self._cursor.reachable = True
             log.info("store regained", table=self._table)
@@ -169,8 +177,7 @@
 
     async def _before_first_read(self) -> None:
         """Let nodes that have the version hand it over: that is far less to send."""
-        with anyio.move_on_after(HANDOVER_S):
-            await self._feed.handover_over.wait()
+        await self._wait_for_sources()
 
     def replace(self, whole: TableChanges) -> None:
         """Take the whole table in."""
--- a/tests/standins/feed_store.py
+++ b/tests/standins/feed_store.py
@@ -10,7 +10,7 @@
 from gypsumlock.mesh.feed_store import FeedRow, FeedStore, TableChanges, WriteOutcome
 from gypsumlock.result_codes import Fault, ResultCode
 
-__all__ = ["MemoryFeedStore"]
+__all__ = ["MemoryFeedStore", "StoreAccess"]
 
 
 class MemoryFeedStore(FeedStore):
@@ -113,5 +113,40 @@
         self._changed = asyncio.Event()
 
 
+class StoreAccess(FeedStore):
+    """One node's way to a store, which counts calls and can be cut."""
+
+    def __init__(self, store: FeedStore) -> None:
+        self._store = store
+        # While True, every call of this node fails.
+        self.cut = False
+        # Tables that were read whole or waited for, and written, call by call.
+        self.called: list[str] = []
+
+    async def read_table(self, table: str) -> Result[TableChanges, Fault]:
+        self.called.append(table)
+        return _unreachable() if self.cut else await self._store.read_table(table)
+
+    async def wait_changes(
+        self, table: str, after: int, wait_s: float
+    ) -> Result[TableChanges, Fault]:
+        self.called.append(table)
+        if self.cut:
+            return _unreachable()
+        found = await self._store.wait_changes(table, after, wait_s)
+        return _unreachable() if self.cut else found
+
+    async def write_row(
+        self, table: str, key: str, value: bytes, expected: int
+    ) -> Result[WriteOutcome, Fault]:
+        self.called.append(table)
+        if self.cut:
+            return _unreachable()
+        return await self._store.write_row(table, key, value, expected)
+
+    async def close(self) -> None:
+        """Do nothing; there are no connections."""
+
+
 def _unreachable() -> Err[Fault]:
     return Err(Fault(ResultCode.PLATFORM_UNREACHABLE, "the stand-in is down"))
--- a/tests/standins/mesh_fleet.py
+++ b/tests/standins/mesh_fleet.py
@@ -25,7 +25,7 @@
 from gypsumlock.mesh.upstream_registry import Departure, Heartbeat
 from gypsumlock.mesh.watchers import ConfigWatcher, RecordPublisher, RecordWatcher
 from gypsumlock.result_codes import Fault
-from tests.standins.feed_store import MemoryFeedStore
+from tests.standins.feed_store import MemoryFeedStore, StoreAccess
 from tests.standins.mesh_upstream import MeshUpstream
 from tests.standins.ports import free_ports
 
@@ -64,6 +64,7 @@
     upstream: MeshUpstream
     addresses: NodeAddresses
     node: MeshNode
+    store: StoreAccess
     stop: asyncio.Event = field(default_factory=asyncio.Event)
     task: asyncio.Task[None] | None = None
     sequence: int = 0
@@ -168,13 +169,14 @@
         zone: str = "a",
         slots: int = 4,
         instance: str = "",
+        link_mbps: float = 0.0,
     ) -> Place:
         """Start a place whose upstream reports itself at once."""
         upstream = MeshUpstream(instance or f"i-{name}")
         await upstream.start()
         calls, peers, readiness, heartbeats = (free_address() for _ in range(4))
         addresses = NodeAddresses(calls, peers, readiness, heartbeats, upstream.address)
-        place = self._build(name, service, zone, upstream, addresses)
+        place = self._build(name, service, zone, upstream, addresses, link_mbps)
         self.places.append(place)
         await self.start(place)
         if slots:
@@ -191,6 +193,7 @@
             place.name, place.service, place.zone, place.upstream, place.addresses
         )
         place.node = fresh.node
+        place.store = fresh.store
         await self.start(place)
 
     async def start(self, place: Place) -> None:
@@ -198,9 +201,9 @@
         state = place.node.state
         await place.node.listen(_Ready(state), _Ready(state))
         controllers = [
-            ConfigWatcher(self.store, place.node.feed, "op", "config", _decode),
-            RecordWatcher(self.store, state, place.node.feed),
-            RecordPublisher(self.store, state, place.node.feed),
+            ConfigWatcher(place.store, place.node.feed, "op", "config", _decode),
+            RecordWatcher(place.store, state, place.node.feed),
+            RecordPublisher(place.store, state, place.node.feed),
         ]
         place.task = asyncio.create_task(place.node.run(controllers, place.stop))
 
@@ -254,7 +257,10 @@
         zone: str,
         upstream: MeshUpstream,
         addresses: NodeAddresses,
+        link_mbps: float = 0.0,
     ) -> Place:
         bounds = MeshBounds(6.0, 0.2, 56.0, 10.0)
-        state = MeshState(name, zone, service, addresses, NAMES, bounds)
-        return Place(name, service, zone, upstream, addresses, MeshNode(state))
+        state = MeshState(name, zone, service, addresses, NAMES, bounds, link_mbps)
+        node = MeshNode(state)
+        store = StoreAccess(self.store)
+        return Place(name, service, zone, upstream, addresses, node, store)
