Count the link of the owner's machine in placing, and wait for slow pongs

Cause: on the narrow links of the grown sites large answers queue for up to a second. Change: each node counts what it writes against the rate of its link and reports the expected wait; placing adds it and the time of the answer itself, but not for the own machine. A silence is suspected later where pongs have lately been slow, by the mean and deviation of TCP's timer, at most one second more.

--- a/gypsumlock/mesh/directory.py
+++ b/gypsumlock/mesh/directory.py
@@ -68,7 +68,9 @@
                 continue
             view = kept.get((record.node, record.instance))
             if view is None:
-                view = UpstreamView(record.node, record.instance, record.zone)
+                view = UpstreamView(
+                    record.node, record.instance, record.zone, record.link_mbps
+                )
                 log.info(
                     "upstream known",
                     node=record.node,
@@ -122,7 +124,8 @@
     def _link(self, node: str) -> PeerLink:
         link = self._links.get(node)
         if link is None:
-            link = PeerLink(self._records[node].peer_address)
+            address = self._records[node].peer_address
+            link = PeerLink(address, self._state.link_meter)
             self._links[node] = link
         return link
 
--- a/gypsumlock/mesh/feed_follower.py
+++ b/gypsumlock/mesh/feed_follower.py
@@ -27,6 +27,7 @@
 from gypsumlock.mesh.feed_sources import readers_of_zone, sources_of
 from gypsumlock.mesh.fleet_feed import FleetFeed
 from gypsumlock.mesh.frames import FramedProtocol, Message
+from gypsumlock.mesh.link_meter import LinkMeter
 from gypsumlock.mesh.model import UpstreamRecord
 from gypsumlock.mesh.state import MeshState
 
@@ -67,8 +68,8 @@
 
     __slots__ = ("_feed", "_fresh_at_s", "_repair_at_s", "beat", "closed", "node")
 
-    def __init__(self, node: str, feed: FleetFeed) -> None:
-        super().__init__()
+    def __init__(self, node: str, feed: FleetFeed, meter: LinkMeter) -> None:
+        super().__init__(meter)
         self.node = node
         self._feed = feed
         self.beat: FeedBeat | None = None
@@ -248,7 +249,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, source = await loop.create_connection(
-                    lambda: _Source(node, self._feed), host, int(port)
+                    lambda: _Source(node, self._feed, self._state.link_meter),
+                    host,
+                    int(port),
                 )
         except (OSError, TimeoutError) as error:
             log.info("source can't be reached", source=node, reason=str(error))
--- a/gypsumlock/mesh/frames.py
+++ b/gypsumlock/mesh/frames.py
@@ -20,6 +20,7 @@
     Follow,
     RecordNews,
 )
+from gypsumlock.mesh.link_meter import LinkMeter
 from gypsumlock.mesh.model import Answer, CallRequest, Failure, OwnerLoad, Refusal
 
 __all__ = [
@@ -43,12 +44,16 @@
 
 
 class Ping(msgspec.Struct, array_like=True, tag=6):
-    """Asks for a pong."""
+    """Asks for the pong with the same number."""
+
+    number: int
 
 
 class Pong(msgspec.Struct, array_like=True, tag=7):
     """Shows that the connection works."""
 
+    number: int
+
 
 class LoadReport(msgspec.Struct, array_like=True, tag=8):
     """Load of the upstream, sent without being asked when it matters."""
@@ -84,11 +89,18 @@
 
 
 class FramedProtocol(asyncio.Protocol, ABC):
-    """Cuts the byte stream into messages."""
+    """Cuts the byte stream into messages.
+
+    Parameters
+    ----------
+    meter : LinkMeter
+        Counts what is written to the machine's link.
+    """
 
-    __slots__ = ("_buffer", "heard_at_s", "loop", "transport")
+    __slots__ = ("_buffer", "_meter", "heard_at_s", "loop", "transport")
 
-    def __init__(self) -> None:
+    def __init__(self, meter: LinkMeter) -> None:
+        self._meter = meter
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
         self.heard_at_s = self.loop.time()
@@ -128,6 +140,7 @@
         if transport is None or transport.is_closing():
             return False
         data = _ENCODER.encode(message)
+        self._meter.note(len(data), self.loop.time())
         transport.write(_LENGTH.pack(len(data)) + data)
         return True
 
--- a/gypsumlock/mesh/http_server.py
+++ b/gypsumlock/mesh/http_server.py
@@ -18,6 +18,7 @@
 import httptools
 
 from gypsumlock.http_headers import Headers, find_header
+from gypsumlock.mesh.link_meter import LinkMeter
 from gypsumlock.mesh.model import ClientLimits
 
 __all__ = ["CallServer", "HttpHandler", "HttpRequest", "ServerConnection"]
@@ -85,12 +86,21 @@
 
 
 class CallServer:
-    """Listens on one address and keeps count of its connections."""
+    """Listens on one address and keeps count of its connections.
 
-    __slots__ = ("_server", "closing", "connections", "handler", "loop")
+    Parameters
+    ----------
+    handler : HttpHandler
+        Answers the requests.
+    meter : LinkMeter | None
+        Counts what is written, where that goes over the machine's link.
+    """
 
-    def __init__(self, handler: HttpHandler) -> None:
+    __slots__ = ("_server", "closing", "connections", "handler", "loop", "meter")
+
+    def __init__(self, handler: HttpHandler, meter: LinkMeter | None = None) -> None:
         self.handler = handler
+        self.meter = meter
         self.loop = asyncio.get_running_loop()
         self.connections: set[ServerConnection] = set()
         # True while answers tell clients to close their connections.
@@ -336,8 +346,11 @@
             self._reject(431)
 
     def _write(self, data: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(data)
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._transport.write(data)
+        if self._server.meter is not None:
+            self._server.meter.note(len(data), self._server.loop.time())
 
     def _arm(self, timeout_s: float) -> None:
         self._disarm()
--- a/gypsumlock/mesh/link.py
+++ b/gypsumlock/mesh/link.py
@@ -3,7 +3,8 @@
 A connection that went silent is found by a ping: whoever waits for an answer and
 hears nothing for `PING_AFTER_S` asks. After `SUSPECT_S` the calls that may run twice
 are given up, so that they can be sent elsewhere; after `SILENCE_S` the connection is,
-and with it all others, which may have run.
+and with it all others, which may have run. Where pongs have lately taken long, behind
+large answers on a narrow link, both times are longer.
 """
 
 from __future__ import annotations
@@ -16,8 +17,10 @@
     LoadReport,
     Message,
     Ping,
+    Pong,
     Withdraw,
 )
+from gypsumlock.mesh.link_meter import LinkMeter
 from gypsumlock.mesh.model import (
     Answer,
     CallOutcome,
@@ -37,6 +40,13 @@
 SUSPECT_S = 0.45
 SILENCE_S = 1.0
 TICK_S = 0.1
+# Longest time added for slow pongs, in seconds.
+MAX_PATIENCE_S = 1.0
+# Weights of the newest sample in the moving mean of the round trip and in its moving
+# deviation, and deviations added to the mean: those of TCP (RFC 6298).
+ROUND_TRIP_WEIGHT = 0.125
+DEVIATION_WEIGHT = 0.25
+DEVIATIONS = 4.0
 PROBE_STEP_S = 0.02
 
 
@@ -55,16 +65,39 @@
             self.future.set_result(outcome)
 
 
+class RoundTrip:
+    """Moving mean and deviation of the time that pongs take, in seconds."""
+
+    __slots__ = ("_deviation_s", "_mean_s")
+
+    def __init__(self) -> None:
+        self._mean_s = 0.0
+        self._deviation_s = 0.0
+
+    def note(self, took_s: float) -> None:
+        """Take one sample in."""
+        off_s = abs(took_s - self._mean_s)
+        self._deviation_s += DEVIATION_WEIGHT * (off_s - self._deviation_s)
+        self._mean_s += ROUND_TRIP_WEIGHT * (took_s - self._mean_s)
+
+    def patience_s(self) -> float:
+        """Return the time that a pong may take beyond the usual, in seconds."""
+        return min(MAX_PATIENCE_S, self._mean_s + DEVIATIONS * self._deviation_s)
+
+
 class _ClientProtocol(FramedProtocol):
     """The calling side of a connection."""
 
-    __slots__ = ("_link", "pinged_at_s", "waiting")
+    __slots__ = ("_link", "_pings", "pinged_at_s", "round_trip", "waiting")
 
-    def __init__(self, link: PeerLink) -> None:
-        super().__init__()
+    def __init__(self, link: PeerLink, meter: LinkMeter) -> None:
+        super().__init__(meter)
         self._link = link
         self.waiting: dict[int, _Waiting] = {}
         self.pinged_at_s = 0.0
+        # Times at which pings were sent, by number, until their pongs arrive.
+        self._pings: dict[int, float] = {}
+        self.round_trip = RoundTrip()
 
     def handle_message(self, message: Message) -> None:
         """Give an answer to the call that waits for it."""
@@ -74,6 +107,16 @@
                 waiting.settle(message)
         elif isinstance(message, LoadReport):
             self._link.on_load(message.load)
+        elif isinstance(message, Pong) and message.number in self._pings:
+            sent_at_s = self._pings.pop(message.number)
+            self.round_trip.note(self.loop.time() - sent_at_s)
+
+    def ping(self) -> None:
+        """Ask for a pong."""
+        self.pinged_at_s = self.loop.time()
+        number = self._link.next_number()
+        self._pings[number] = self.pinged_at_s
+        self.send(Ping(number))
 
     def give_up_repeatable(self) -> None:
         """Fail the calls that may be sent elsewhere."""
@@ -98,12 +141,23 @@
     ----------
     address : str
         Where the node listens for calls of other nodes, as `IP:port`.
+    meter : LinkMeter
+        Counts what is written to the machine's link.
     """
 
-    __slots__ = ("_connecting", "_numbers", "_protocol", "_ticker", "address", "load")
-
-    def __init__(self, address: str) -> None:
+    __slots__ = (
+        "_connecting",
+        "_meter",
+        "_numbers",
+        "_protocol",
+        "_ticker",
+        "address",
+        "load",
+    )
+
+    def __init__(self, address: str, meter: LinkMeter) -> None:
         self.address = address
+        self._meter = meter
         self._protocol: _ClientProtocol | None = None
         self._connecting: asyncio.Task[_ClientProtocol | None] | None = None
         self._numbers = 0
@@ -119,8 +173,7 @@
         protocol = self._protocol or await self._connect()
         if protocol is None:
             return refusal(ResultCode.CALL_UPSTREAM_UNREACHABLE)
-        self._numbers += 1
-        number = self._numbers
+        number = self.next_number()
         request.number = number
         future: asyncio.Future[CallOutcome] = protocol.loop.create_future()
         if not protocol.waiting:
@@ -144,7 +197,7 @@
         if protocol is None:
             return False
         asked_s = protocol.loop.time()
-        protocol.send(Ping())
+        protocol.ping()
         while protocol.loop.time() < asked_s + SILENCE_S:
             await asyncio.sleep(PROBE_STEP_S)
             if protocol.heard_at_s >= asked_s:
@@ -159,6 +212,11 @@
             for number in list(protocol.waiting):
                 protocol.send(Withdraw(number))
 
+    def next_number(self) -> int:
+        """Return a number that no message of this link has."""
+        self._numbers += 1
+        return self._numbers
+
     def on_load(self, load: OwnerLoad) -> None:
         """Keep a report of load."""
         self.load = load
@@ -189,7 +247,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, protocol = await loop.create_connection(
-                    lambda: _ClientProtocol(self), host, int(port)
+                    lambda: _ClientProtocol(self, self._meter), host, int(port)
                 )
         except (OSError, TimeoutError):
             return None
@@ -211,12 +269,13 @@
             return
         now_s = protocol.loop.time()
         silent_s = now_s - protocol.heard_at_s
-        if silent_s > SILENCE_S:
+        patience_s = protocol.round_trip.patience_s()
+        if silent_s > SILENCE_S + patience_s:
             protocol.abort()
             return
-        if silent_s > SUSPECT_S:
+        if silent_s > SUSPECT_S + patience_s:
             protocol.give_up_repeatable()
-        if silent_s > PING_AFTER_S and now_s - protocol.pinged_at_s > PING_AFTER_S:
-            protocol.pinged_at_s = now_s
-            protocol.send(Ping())
+        # One ping for each silence: its pong tells how long the way takes.
+        if silent_s > PING_AFTER_S and protocol.pinged_at_s < protocol.heard_at_s:
+            protocol.ping()
         self._watch(protocol)
--- a/gypsumlock/mesh/link_server.py
+++ b/gypsumlock/mesh/link_server.py
@@ -22,6 +22,7 @@
     Pong,
     Withdraw,
 )
+from gypsumlock.mesh.link_meter import LinkMeter
 from gypsumlock.mesh.model import CallRequest, OwnerLoad
 
 __all__ = ["InboundLink", "LinkServer"]
@@ -33,7 +34,7 @@
     __slots__ = ("_requests", "_server", "_tasks")
 
     def __init__(self, server: LinkServer) -> None:
-        super().__init__()
+        super().__init__(server.meter)
         self._server = server
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._requests: dict[int, CallRequest] = {}
@@ -67,7 +68,7 @@
         elif isinstance(message, Follow):
             self._server.relay.follow(self, message)
         elif isinstance(message, Ping):
-            self.send(Pong())
+            self.send(Pong(message.number))
 
     def tell(self, message: RecordNews | ConfigChange | ConfigWhole | FeedBeat) -> None:
         """Send news to the node that follows this one."""
@@ -92,12 +93,15 @@
         Runs the calls.
     relay : FeedRelay
         Keeps those up that follow this node.
+    meter : LinkMeter
+        Counts what is written to the machine's link.
     """
 
-    __slots__ = ("_server", "links", "relay", "sink")
+    __slots__ = ("_server", "links", "meter", "relay", "sink")
 
-    def __init__(self, sink: CallSink, relay: FeedRelay) -> None:
+    def __init__(self, sink: CallSink, relay: FeedRelay, meter: LinkMeter) -> None:
         self.sink = sink
+        self.meter = meter
         self.relay = relay
         self.links: set[InboundLink] = set()
         self._server: asyncio.Server | None = None
--- a/gypsumlock/mesh/model.py
+++ b/gypsumlock/mesh/model.py
@@ -157,6 +157,9 @@
     # Share of recent calls that the upstream failed or rejected.
     failure_share: float = 0.0
     accepting: bool = True
+    # Time that bytes written now wait for the link of the owner's machine, in
+    # seconds.
+    egress_s: float = 0.0
 
 
 class CallRequest(msgspec.Struct, array_like=True, tag=1):
--- a/gypsumlock/mesh/node.py
+++ b/gypsumlock/mesh/node.py
@@ -78,10 +78,10 @@
         self.feed.listener = self.relay
         chance = random.Random()
         self.follower = FeedFollower(state, self.feed, self.relay, chance)
-        placement = Placement(state.zone, chance)
+        placement = Placement(state.node, state.zone, chance)
         caller = Caller(state, self.directory, placement, self.metrics, chance)
-        self.calls = CallServer(caller)
-        self.peers = LinkServer(self.owner, self.relay)
+        self.calls = CallServer(caller, state.link_meter)
+        self.peers = LinkServer(self.owner, self.relay, state.link_meter)
         # Readiness and heartbeats.
         self.side_servers: list[CallServer] = []
 
--- a/gypsumlock/mesh/placement.py
+++ b/gypsumlock/mesh/placement.py
@@ -11,6 +11,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from gypsumlock.mesh.link_meter import BYTES_PER_MEGABIT
 from gypsumlock.mesh.model import OwnerLoad, RouteSpec
 
 __all__ = ["CallShape", "Placement", "UpstreamView"]
@@ -62,6 +63,8 @@
     node: str
     instance: str
     zone: str
+    # Bandwidth of its machine's link in megabits a second; 0 if it is not known.
+    link_mbps: float = 0.0
     load: OwnerLoad = field(default_factory=OwnerLoad)
     load_at_s: float = float("-inf")
     # Calls of this node that the upstream has not answered yet.
@@ -112,15 +115,18 @@
 
     Parameters
     ----------
+    node : str
+        Name of this node: what its own upstream answers takes no link.
     zone : str
-        Availability zone of this node.
+        Its availability zone.
     chance : random.Random
         Source of the jitter.
     """
 
-    __slots__ = ("_chance", "_zone")
+    __slots__ = ("_chance", "_node", "_zone")
 
-    def __init__(self, zone: str, chance: random.Random) -> None:
+    def __init__(self, node: str, zone: str, chance: random.Random) -> None:
+        self._node = node
         self._zone = zone
         self._chance = chance
 
@@ -179,6 +185,8 @@
             expected_s += view.load.wait_s[index] * view.freshness(now_s)
         if view.zone != self._zone:
             expected_s += ZONE_ROUND_TRIP_S
+        if view.node != self._node:
+            expected_s += _transfer_s(shape, view, now_s)
         return expected_s
 
     def _within_zone(
@@ -197,6 +205,14 @@
         return near or views
 
 
+def _transfer_s(shape: CallShape, view: UpstreamView, now_s: float) -> float:
+    """Return the expected time of an answer on the link of the owner's machine."""
+    waits_s = view.load.egress_s * view.freshness(now_s)
+    if view.link_mbps <= 0:
+        return waits_s
+    return waits_s + shape.size_bytes / (view.link_mbps * BYTES_PER_MEGABIT)
+
+
 def route_target_s(route: RouteSpec) -> float:
     """Return the latency target of a route, never zero."""
     return max(route.target_latency_s, 0.001)
--- a/gypsumlock/mesh/state.py
+++ b/gypsumlock/mesh/state.py
@@ -7,6 +7,7 @@
 
 import asyncio
 
+from gypsumlock.mesh.link_meter import LinkMeter
 from gypsumlock.mesh.model import HeaderNames, NodeAddresses, UpstreamRecord
 from gypsumlock.mesh.route_table import RouteTable
 from gypsumlock.mesh.upstream_registry import UpstreamRegistry
@@ -68,6 +69,7 @@
         "ending",
         "headers",
         "link_mbps",
+        "link_meter",
         "node",
         "registry",
         "restored",
@@ -95,6 +97,7 @@
         self.headers = headers
         self.bounds = bounds
         self.link_mbps = link_mbps
+        self.link_meter = LinkMeter(link_mbps)
         self.registry = UpstreamRegistry(addresses.upstream)
         # Set whenever the node's own record has to be published again.
         self.upstream_changed = asyncio.Event()
