Give a call on a silent link up only if it goes elsewhere

Change: the link asks the caller, who gives up only a call that it sends on at once, and pays the repeat then. Otherwise the answer is waited for, up to the connection's end. Test: a link that is silent for 0.7 s; without the mechanism the client gets 502. Entries for the proofs of the feed, of the link's count and of this stand in misc/mesh_mutations.py.

--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -83,6 +83,8 @@
     closed: set[str] = field(default_factory=set)
     # True once the call may have run.
     unknown: bool = False
+    # True while a repeat was taken from the budget, but not made yet.
+    repeat_paid: bool = False
     retry_after_s: float = 0.0
     # The best answer so far that is not a good one.
     spare: Answer | None = None
@@ -217,9 +219,9 @@
                 call.spare = outcome
             if not self._may_repeat(call, outcome):
                 return call.spare
-            if not budget.take(self._loop.time(), self._directory.upstream_count):
-                self._metrics.count("retry.budget_empty")
+            if not self._pay_repeat(call):
                 return call.spare
+            call.repeat_paid = False
             self._metrics.count("retry")
 
     def _may_repeat(self, call: _Call, outcome: CallOutcome | None) -> bool:
@@ -228,13 +230,38 @@
         ran = not isinstance(outcome, Refusal)
         if ran and not call.route.repeatable:
             return False
-        if len(call.sent_to) >= call.route.max_attempts:
+        return self._has_another(call, call.sent_to)
+
+    def _has_another(self, call: _Call, tried: set[str]) -> bool:
+        """Tell whether one more upstream may be sent a call."""
+        if len(tried) >= call.route.max_attempts:
             return False
         return any(
-            view.node not in call.sent_to and not view.avoided
+            view.node not in tried and not view.avoided
             for view in self._directory.views(call.service)
         )
 
+    def _pay_repeat(self, call: _Call) -> bool:
+        """Take a repeat from the budget, once for each repeat."""
+        if call.repeat_paid:
+            return True
+        budget = self._budget(call.service)
+        if not budget.take(self._loop.time(), self._directory.upstream_count):
+            self._metrics.count("retry.budget_empty")
+            return False
+        call.repeat_paid = True
+        return True
+
+    def _may_give_up(self, call: _Call, silent: UpstreamView) -> bool:
+        """Tell whether a call goes elsewhere rather than wait for a silent node.
+
+        A call that can't be sent again would only be lost: its answer may still come.
+        """
+        if not call.route.repeatable:
+            return False
+        tried = call.sent_to | {silent.node}
+        return self._has_another(call, tried) and self._pay_repeat(call)
+
     async def _offer_around(self, call: _Call) -> CallOutcome | None:
         """Offer the call until an upstream was sent it; None if none took it."""
         for late_ok, offers in ((False, PUNCTUAL_OFFERS), (True, LATE_OFFERS)):
@@ -293,7 +320,9 @@
         in_flight = view.in_flight(now_s)
         view.outstanding += 1
         try:
-            outcome = await self._directory.send(view, request)
+            outcome = await self._directory.send(
+                view, request, lambda: self._may_give_up(call, view)
+            )
         finally:
             view.outstanding -= 1
         self._learn(call, view, outcome)
--- a/gypsumlock/mesh/directory.py
+++ b/gypsumlock/mesh/directory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from gypsumlock.logs import Part, part_log
 from gypsumlock.mesh.link import PeerLink
@@ -83,11 +83,26 @@
         self._by_service = by_service
         self._drop_links()
 
-    async def send(self, view: UpstreamView, request: CallRequest) -> CallOutcome:
-        """Carry a call to the node beside an upstream."""
+    async def send(
+        self,
+        view: UpstreamView,
+        request: CallRequest,
+        may_give_up: Callable[[], bool],
+    ) -> CallOutcome:
+        """Carry a call to the node beside an upstream.
+
+        Parameters
+        ----------
+        view : UpstreamView
+            The upstream.
+        request : CallRequest
+            The call.
+        may_give_up : Callable[[], bool]
+            Asked while that node is silent; True fails the call at once.
+        """
         if view.node == self._state.node:
             return await self._owner.run_call(request)
-        return await self._link(view.node).call(request)
+        return await self._link(view.node).call(request, may_give_up)
 
     def withdraw_waiting(self) -> None:
         """Ask every owner to refuse those calls of this node that still wait."""
--- a/gypsumlock/mesh/link.py
+++ b/gypsumlock/mesh/link.py
@@ -1,8 +1,8 @@
 """Calls to other nodes; many of them share one connection.
 
 A connection that went silent is found by a ping: whoever waits for an answer and
-hears nothing for `PING_AFTER_S` asks. After `SUSPECT_S` the calls that may run twice
-are given up, so that they can be sent elsewhere; after `SILENCE_S` the connection is,
+hears nothing for `PING_AFTER_S` asks. After `SUSPECT_S` those calls are given up that
+can be sent elsewhere; after `SILENCE_S` the connection is,
 and with it all others, which may have run. Where pongs have lately taken long, behind
 large answers on a narrow link, both times are longer.
 """
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from gypsumlock.mesh.frames import (
     Cancel,
@@ -53,11 +54,13 @@
 class _Waiting:
     """A call that waits for its outcome."""
 
-    __slots__ = ("future", "repeatable")
+    __slots__ = ("future", "may_give_up")
 
-    def __init__(self, future: asyncio.Future[CallOutcome], repeatable: bool) -> None:
+    def __init__(
+        self, future: asyncio.Future[CallOutcome], may_give_up: Callable[[], bool]
+    ) -> None:
         self.future = future
-        self.repeatable = repeatable
+        self.may_give_up = may_give_up
 
     def settle(self, outcome: CallOutcome) -> None:
         """Hand the outcome over, unless the caller has left."""
@@ -118,10 +121,10 @@
         self._pings[number] = self.pinged_at_s
         self.send(Ping(number))
 
-    def give_up_repeatable(self) -> None:
-        """Fail the calls that may be sent elsewhere."""
+    def give_up_silent(self) -> None:
+        """Fail the calls that will be sent elsewhere; the others go on waiting."""
         for number, waiting in list(self.waiting.items()):
-            if waiting.repeatable:
+            if waiting.may_give_up():
                 del self.waiting[number]
                 self.send(Cancel(number))
                 waiting.settle(failure(ResultCode.CALL_UNKNOWN_OUTCOME))
@@ -165,10 +168,19 @@
         # Load that the owner reported without being asked, until it is read.
         self.load: OwnerLoad | None = None
 
-    async def call(self, request: CallRequest) -> CallOutcome:
+    async def call(
+        self, request: CallRequest, may_give_up: Callable[[], bool]
+    ) -> CallOutcome:
         """Send a call and wait for what becomes of it.
 
         Cancelling the caller gives the call up at the owner too.
+
+        Parameters
+        ----------
+        request : CallRequest
+            The call.
+        may_give_up : Callable[[], bool]
+            Asked while the other node is silent; True fails the call at once.
         """
         protocol = self._protocol or await self._connect()
         if protocol is None:
@@ -179,7 +191,7 @@
         if not protocol.waiting:
             # Silence counts from when somebody began to wait.
             protocol.heard_at_s = protocol.loop.time()
-        protocol.waiting[number] = _Waiting(future, request.repeatable)
+        protocol.waiting[number] = _Waiting(future, may_give_up)
         if not protocol.send(request):
             protocol.waiting.pop(number, None)
             return refusal(ResultCode.CALL_UPSTREAM_UNREACHABLE)
@@ -274,7 +286,7 @@
             protocol.abort()
             return
         if silent_s > SUSPECT_S + patience_s:
-            protocol.give_up_repeatable()
+            protocol.give_up_silent()
         # One ping for each silence: its pong tells how long the way takes.
         if silent_s > PING_AFTER_S and protocol.pinged_at_s < protocol.heard_at_s:
             protocol.ping()
--- a/misc/mesh_mutations.py
+++ b/misc/mesh_mutations.py
@@ -8,6 +8,7 @@
 
 _CALLS = "tests.test_mesh_calls"
 _DECISIONS = "tests.test_mesh_decisions"
+_FEED = "tests.test_mesh_feed"
 _FLOOD = "tests.test_mesh_admission"
 
 MESH_MUTATIONS = (
@@ -80,7 +81,7 @@
     Mutation(
         "mesh: repeatable calls leave a silent connection",
         "gypsumlock/mesh/link.py",
-        "if silent_s > SUSPECT_S:",
+        "if silent_s > SUSPECT_S + patience_s:",
         "if False:",
         f"{_CALLS}.TestSilence.test_repeatable_call_is_sent_elsewhere_in_time",
     ),
@@ -126,4 +127,47 @@
         "if False:",
         "tests.test_bounded_sink.TestBoundedSink.test_lines_left_out_are_counted",
     ),
+    Mutation(
+        "mesh: a call that can't go elsewhere waits for a silent node",
+        "gypsumlock/mesh/caller.py",
+        "return self._has_another(call, tried) and self._pay_repeat(call)",
+        "return True",
+        f"{_CALLS}.TestSilence.test_call_without_another_upstream_waits_for_its_answer",
+    ),
+    Mutation(
+        "mesh: only readers ask the store",
+        "gypsumlock/mesh/feed_follower.py",
+        "            event.clear()",
+        "            pass",
+        f"{_FEED}.TestFollowing.test_changes_cost_calls_of_the_readers_only",
+    ),
+    Mutation(
+        "mesh: a node without a source reads the store",
+        "gypsumlock/mesh/feed_follower.py",
+        "if now_s >= self._turn_at_s:",
+        "if False:",
+        f"{_FEED}.TestFollowing.test_version_arrives_in_time_without_the_readers",
+    ),
+    Mutation(
+        "mesh: a source that lost the store is no source",
+        "gypsumlock/mesh/feed_relay.py",
+        "fresh=feed.hears_from_store() and not self._state.stopping,",
+        "fresh=True,",
+        f"{_FEED}.TestFollowing."
+        "test_version_arrives_in_time_when_readers_lose_the_store",
+    ),
+    Mutation(
+        "mesh: a version is checked against the whole",
+        "gypsumlock/mesh/feed_messages.py",
+        "return config if digest_of(config) == change.digest else None",
+        "return config",
+        f"{_FEED}.TestConfigChange.test_version_that_comes_out_otherwise_is_refused",
+    ),
+    Mutation(
+        "mesh: the link of the owner's machine counts in placing",
+        "gypsumlock/mesh/placement.py",
+        "expected_s += _transfer_s(shape, view, now_s)",
+        "pass",
+        f"{_DECISIONS}.TestPlacement.test_large_answers_avoid_a_link_that_is_taken",
+    ),
 )
--- a/tests/test_mesh_calls.py
+++ b/tests/test_mesh_calls.py
@@ -349,11 +349,14 @@
         await self.fleet.settle(upstreams=2)
         await self.fleet.call(self.near)
 
-    def silence(self, place: Place) -> None:
-        """Let a node swallow all it gets, as behind a partition."""
+    def silence(self, place: Place, silent: bool = True) -> None:
+        """Let a node read nothing, as behind a partition, or read again."""
         for link in place.node.peers.links:
             assert link.transport is not None
-            link.transport.pause_reading()
+            if silent:
+                link.transport.pause_reading()
+            else:
+                link.transport.resume_reading()
 
     async def test_repeatable_call_is_sent_elsewhere_in_time(self) -> None:
         # The slower one is chosen only once the other is known to be silent.
@@ -370,6 +373,18 @@
         # The route's target is a second.
         self.assertLess(max(answer.took_s for answer in answers), 1.0)
 
+    async def test_call_without_another_upstream_waits_for_its_answer(self) -> None:
+        self.third.beat(leaving=True)
+        await self.fleet.settle(upstreams=1)
+        # The connection is there before it goes silent.
+        await self.fleet.call(self.near)
+        self.silence(self.far)
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.7, self.silence, self.far, False)
+        answer = await self.fleet.call(self.near)
+        self.assertEqual(answer.status, 200)
+        self.assertGreater(answer.took_s, 0.6)
+
 
 class TestStore(MeshCase):
     """The node's own row while the store fails."""
