Leave answers to clients out of the link's count, and write them whole

Cause: the commit before counted and paced what goes to clients too, but they are on the node's own machine, as the platform's page says, and take none of its link. Conclusion: the server goes back to whole answers; pieces remain between nodes.

--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -34,7 +34,6 @@
     Refusal,
     RouteSpec,
 )
-from gypsumlock.mesh.pacer import pieces_of
 from gypsumlock.mesh.placement import CallShape, Placement, UpstreamView
 from gypsumlock.mesh.retry_budget import RetryBudget
 from gypsumlock.mesh.share_counter import ShareCounter
@@ -164,7 +163,7 @@
             self._note(call, "client left", 0)
             raise
         if answer is not None:
-            await self._pass_on(call, connection, answer)
+            self._pass_on(call, connection, answer)
         elif call.unknown:
             self._finish(call, connection, ResultCode.CALL_UNKNOWN_OUTCOME)
         else:
@@ -366,19 +365,14 @@
 
     # --- phase 5 ---
 
-    async def _pass_on(
+    def _pass_on(
         self, call: _Call, connection: ServerConnection, answer: Answer
     ) -> None:
         name = call.route.name
         size = float(len(answer.body) + len(call.request.body))
         mean = self._sizes.get(name, size)
         self._sizes[name] = mean + SIZE_WEIGHT * (size - mean)
-        *first, last = pieces_of(answer.body)
-        connection.begin_answer(answer.status, answer.headers, len(answer.body))
-        for piece in first:
-            await self._state.pacer.wait_turn(call.route.rank)
-            connection.write_piece(piece)
-        connection.end_answer(last)
+        connection.answer(answer.status, answer.headers, answer.body)
         self._note(call, "call answered", answer.status)
 
     def _finish(
--- a/gypsumlock/mesh/http_server.py
+++ b/gypsumlock/mesh/http_server.py
@@ -18,7 +18,6 @@
 import httptools
 
 from gypsumlock.http_headers import Headers, find_header
-from gypsumlock.mesh.link_meter import LinkMeter
 from gypsumlock.mesh.model import ClientLimits
 
 __all__ = ["CallServer", "HttpHandler", "HttpRequest", "ServerConnection"]
@@ -86,21 +85,12 @@
 
 
 class CallServer:
-    """Listens on one address and keeps count of its connections.
+    """Listens on one address and keeps count of its connections."""
 
-    Parameters
-    ----------
-    handler : HttpHandler
-        Answers the requests.
-    meter : LinkMeter | None
-        Counts what is written, where that goes over the machine's link.
-    """
+    __slots__ = ("_server", "closing", "connections", "handler", "loop")
 
-    __slots__ = ("_server", "closing", "connections", "handler", "loop", "meter")
-
-    def __init__(self, handler: HttpHandler, meter: LinkMeter | None = None) -> None:
+    def __init__(self, handler: HttpHandler) -> None:
         self.handler = handler
-        self.meter = meter
         self.loop = asyncio.get_running_loop()
         self.connections: set[ServerConnection] = set()
         # True while answers tell clients to close their connections.
@@ -141,11 +131,9 @@
         "_body_bytes",
         "_current",
         "_deadline",
-        "_head",
         "_header_bytes",
         "_headers",
         "_in_request",
-        "_last_answer",
         "_parser",
         "_rejected",
         "_requests",
@@ -165,10 +153,7 @@
         self._deadline: asyncio.TimerHandle | None = None
         self._in_request = False
         self._rejected = False
-        self._last_answer = False
         self._target = b""
-        # Head of the answer that was begun, until it is written.
-        self._head = b""
         self._headers: Headers = []
         self._header_bytes = 0
         self._body: list[bytes] = []
@@ -282,49 +267,20 @@
         body : bytes
             The whole body.
         """
-        self.begin_answer(status, headers, len(body))
-        self.end_answer(body)
-
-    def begin_answer(self, status: int, headers: Headers, body_bytes: int) -> None:
-        """Prepare an answer whose body follows in pieces.
-
-        Parameters
-        ----------
-        status : int
-            Status code.
-        headers : list[tuple[bytes, bytes]]
-            Headers without those that frame the message.
-        body_bytes : int
-            Length of the whole body.
-        """
         request = self._current
         if request is None:
             return
-        self._last_answer = self._server.closing or not request.keep_alive
+        last = self._server.closing or not request.keep_alive
         reason = REASONS.get(status, b"Status")
         lines = [b"HTTP/1.1 %d %b\r\n" % (status, reason)]
         lines.extend([b"%b: %b\r\n" % header for header in headers])
         if status >= 200 and status not in (204, 304):
-            lines.append(b"content-length: %d\r\n" % body_bytes)
-        lines.append(b"connection: close\r\n\r\n" if self._last_answer else b"\r\n")
-        # Written with the first piece.
-        self._head = b"".join(lines)
-
-    def write_piece(self, piece: bytes) -> None:
-        """Write a piece of the body."""
-        request = self._current
-        if request is None:
-            return
-        if request.method == b"HEAD":
-            piece = b""
-        self._write(self._head + piece)
-        self._head = b""
-
-    def end_answer(self, piece: bytes) -> None:
-        """Write the last piece and go on to the next request."""
-        if self._current is not None:
-            self.write_piece(piece)
-            self._finish(self._last_answer)
+            lines.append(b"content-length: %d\r\n" % len(body))
+        lines.append(b"connection: close\r\n\r\n" if last else b"\r\n")
+        if request.method != b"HEAD":
+            lines.append(body)
+        self._write(b"".join(lines))
+        self._finish(last)
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is under way."""
@@ -380,11 +336,8 @@
             self._reject(431)
 
     def _write(self, data: bytes) -> None:
-        if self._transport is None or self._transport.is_closing():
-            return
-        self._transport.write(data)
-        if self._server.meter is not None:
-            self._server.meter.note(len(data), self._server.loop.time())
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
 
     def _arm(self, timeout_s: float) -> None:
         self._disarm()
--- a/gypsumlock/mesh/link_meter.py
+++ b/gypsumlock/mesh/link_meter.py
@@ -1,8 +1,9 @@
 """Estimates how long bytes wait for the machine's own link.
 
 Load that this answers: large answers on a narrow link. What is written waits in
-buffers that a process can't look into; but all that this process writes, and the
-rate at which the link drains it, are known.
+buffers that a process can't look into; but all that this process writes to other
+machines, and the rate at which the link drains it, are known. Clients and the upstream
+are on the same machine: what goes to them takes no link.
 """
 
 from __future__ import annotations
--- a/gypsumlock/mesh/node.py
+++ b/gypsumlock/mesh/node.py
@@ -80,7 +80,7 @@
         self.follower = FeedFollower(state, self.feed, self.relay, chance)
         placement = Placement(state.node, state.zone, chance)
         caller = Caller(state, self.directory, placement, self.metrics, chance)
-        self.calls = CallServer(caller, state.link_meter)
+        self.calls = CallServer(caller)
         self.peers = LinkServer(self.owner, self.relay, state.link_meter, state.pacer)
         # Readiness and heartbeats.
         self.side_servers: list[CallServer] = []
