Rest no connection under bookings, learn from forgotten ones, and count urgent calls to come

Cause (forgotten connections): the grown sites' upstreams may drop an idle connection unseen; what is sent next is reset, and a booking is then lost (502). Change: a call that can't be repeated takes no connection that rested over 0.2 s (1 s before); a connection that was closed under a call without a byte lowers the limit for all for 10 s. Cause (waits): the expected wait of a less urgent call left out urgent ones that come later, so it waited up to its end and was refused then; and a call refused by one owner counted as demand there though it ran elsewhere. Change: the wait is over the slots that more urgent classes leave; a refused call is no demand.

--- a/gypsumlock/mesh/admission.py
+++ b/gypsumlock/mesh/admission.py
@@ -41,6 +41,8 @@
 DEMAND_WINDOW_S = 2.0
 # Largest share of the slots that is kept free for more urgent calls.
 MAX_RESERVED_SHARE = 0.8
+# Least share of the slots that is expected to be left by more urgent calls.
+MIN_ROOM_SHARE = 0.1
 # One of so many freed slots goes to the lowest waiting rank.
 FLOOR_EVERY = 10
 # A late call is taken if its expected wait fits so many times in what is left.
@@ -204,14 +206,21 @@
         ticket.offered_at_s = now_s
         ticket.service_s = self.times.of(ticket.route)
         ticket.safe_s = self.times.safe(ticket.route)
-        self._demand.note(ticket.urgency, ticket.service_s, now_s)
+        verdict = self._judge(ticket, now_s)
+        if verdict.state is not TicketState.DROPPED:
+            # A refused call asks elsewhere, and is counted where it is taken.
+            self._demand.note(ticket.urgency, ticket.service_s, now_s)
+        return verdict
+
+    def _judge(self, ticket: Ticket, now_s: float) -> Verdict:
+        """Admit a call, let it wait, or refuse it."""
         if now_s + ticket.service_s > ticket.deadline_at_s:
             return self._refuse(ticket, 0.0)
         if self._has_slot(ticket) and not self._is_behind(ticket):
             ticket.late = now_s + ticket.service_s > ticket.target_at_s
             self._admit(ticket, now_s)
             return Verdict(TicketState.ADMITTED)
-        wait_s = self.expected_wait_s(ticket.order(), now_s)
+        wait_s = self.expected_wait_s(ticket.order(), ticket.urgency, now_s)
         end_s = now_s + wait_s + ticket.safe_s
         if end_s > ticket.target_at_s:
             if not ticket.late_ok:
@@ -219,7 +228,7 @@
             ticket.late = True
             if self._demand.above(LATE_URGENCY) >= self.slots:
                 return self._refuse(ticket, wait_s)
-            wait_s = self.expected_wait_s(ticket.order(), now_s)
+            wait_s = self.expected_wait_s(ticket.order(), LATE_URGENCY, now_s)
             left_s = ticket.deadline_at_s - now_s - ticket.service_s
             if wait_s * LATE_MARGIN > left_s:
                 return self._refuse(ticket, wait_s)
@@ -262,8 +271,23 @@
             left.append(ticket)
         return left
 
-    def expected_wait_s(self, order: tuple[bool, int, float], now_s: float) -> float:
-        """Return the expected wait of a call with some sort key, in seconds."""
+    def expected_wait_s(
+        self, order: tuple[bool, int, float], urgency: Urgency, now_s: float
+    ) -> float:
+        """Return the expected wait of a call, in seconds.
+
+        Calls that are more urgent and have not come yet go before it too, so only
+        the slots that those leave are counted.
+
+        Parameters
+        ----------
+        order : tuple[bool, int, float]
+            The call's sort key.
+        urgency : tuple[int, float]
+            Its class.
+        now_s : float
+            Monotonic time.
+        """
         if self.in_flight < self.slots and not self._waiting:
             return 0.0
         ahead_s = 0.0
@@ -273,7 +297,10 @@
             ahead_s += ticket.service_s
         mean_s = self.times.overall_s
         stalled_s = now_s - self._progress_at_s - STALL_SERVICES * mean_s
-        return (ahead_s + mean_s) / self.slots + max(0.0, stalled_s)
+        room = max(
+            MIN_ROOM_SHARE * self.slots, self.slots - self._demand.above(urgency)
+        )
+        return (ahead_s + mean_s) / room + max(0.0, stalled_s)
 
     def waits_by_rank(self, now_s: float) -> tuple[float, ...]:
         """Return the expected wait of a new call by rank, in seconds."""
@@ -281,7 +308,7 @@
             return ()
         last = float("inf")
         return tuple(
-            round(self.expected_wait_s((False, rank, last), now_s), 4)
+            round(self.expected_wait_s((False, rank, last), (rank, 0.0), now_s), 4)
             for rank in range(REPORTED_RANKS)
         )
 
--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -185,7 +185,9 @@
             self._waiters.pop(ticket, None)
         wait_s = 0.0
         if ticket.state is TicketState.DROPPED:
-            wait_s = self._queue.expected_wait_s(ticket.order(), self._loop.time())
+            wait_s = self._queue.expected_wait_s(
+                ticket.order(), ticket.urgency, self._loop.time()
+            )
         return Verdict(ticket.state, wait_s)
 
     def _free(self, ticket: Ticket, service_s: float | None) -> None:
--- a/gypsumlock/mesh/upstream_connection.py
+++ b/gypsumlock/mesh/upstream_connection.py
@@ -30,9 +30,13 @@
 IDLE_SHARE = 0.6
 # Idle time allowed where nothing was announced, in seconds.
 DEFAULT_IDLE_S = 4.0
-# Idle time allowed for a call that can't be repeated: an upstream may close an
-# idle connection just as the call is sent, which leaves its outcome open.
-UNREPEATABLE_IDLE_S = 1.0
+# Idle time allowed for a call that can't be repeated: an upstream may forget an idle
+# connection sooner than it announced, which leaves the outcome of the call open.
+UNREPEATABLE_IDLE_S = 0.2
+# Share of the idle time of a connection that turned out to be forgotten that others
+# may reach, and the time for which that holds, in seconds.
+FORGOTTEN_SHARE = 0.5
+FORGOTTEN_MEMORY_S = 10.0
 # Largest answer that is kept until it is whole, in bytes.
 MAX_ANSWER_BYTES = 16_777_216
 
@@ -79,6 +83,7 @@
         "_clean",
         "_complete",
         "_headers",
+        "_heard",
         "_id_name",
         "_matches",
         "_method",
@@ -89,8 +94,10 @@
         "_transport",
         "_until_close",
         "_waiter",
+        "forgotten",
         "idle_limit_s",
         "idle_since_s",
+        "rested_s",
     )
 
     def __init__(self, id_name: bytes) -> None:
@@ -113,6 +120,11 @@
         self._silence_end: asyncio.TimerHandle | None = None
         self.idle_since_s = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
+        # Time that the connection had rested before its last call; 0 for a new one.
+        self.rested_s = 0.0
+        # True once it was closed under a call without a byte of an answer.
+        self.forgotten = False
+        self._heard = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -123,6 +135,7 @@
         if self._waiter is None or self._waiter.done():
             self.close()
             return
+        self._heard = True
         if self._silence is not None:
             self._bound_silence(self._silence.later_s)
         try:
@@ -148,6 +161,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the call that waits."""
         self._clean = False
+        waits = self._waiter is not None and not self._waiter.done()
+        self.forgotten = waits and not self._heard
         self._fail("connection closed")
 
     async def exchange(
@@ -184,6 +199,7 @@
         self._call_id = call_id
         self._start_answer()
         self._complete = False
+        self._heard = False
         self._parser = httptools.HttpResponseParser(self)
         self._waiter = asyncio.get_running_loop().create_future()
         transport.write(data)
@@ -313,7 +329,14 @@
         Name of the header that answers echo.
     """
 
-    __slots__ = ("_host", "_id_name", "_idle", "_port")
+    __slots__ = (
+        "_forgotten_limit_s",
+        "_forgotten_until_s",
+        "_host",
+        "_id_name",
+        "_idle",
+        "_port",
+    )
 
     def __init__(self, address: str, id_name: bytes) -> None:
         host, _, port = address.rpartition(":")
@@ -321,6 +344,9 @@
         self._port = int(port)
         self._id_name = id_name
         self._idle: list[UpstreamConnection] = []
+        # Idle time that connections may reach after one was forgotten, for a while.
+        self._forgotten_limit_s = DEFAULT_IDLE_S
+        self._forgotten_until_s = float("-inf")
 
     async def acquire(self, repeatable: bool) -> UpstreamConnection:
         """Return a connection that carries no call.
@@ -343,6 +369,9 @@
             limit_s = connection.idle_limit_s
             if not repeatable:
                 limit_s = min(limit_s, UNREPEATABLE_IDLE_S)
+            if now_s < self._forgotten_until_s:
+                limit_s = min(limit_s, self._forgotten_limit_s)
+            connection.rested_s = idle_s
             if idle_s < limit_s and connection.reusable():
                 return connection
             connection.close()
@@ -358,11 +387,19 @@
     def release(self, connection: UpstreamConnection) -> None:
         """Take a connection back; it is kept only if it may be used again."""
         if not connection.reusable():
+            if connection.forgotten and connection.rested_s > 0:
+                self._note_forgotten(connection.rested_s)
             connection.close()
             return
         connection.idle_since_s = asyncio.get_running_loop().time()
         self._idle.append(connection)
 
+    def _note_forgotten(self, rested_s: float) -> None:
+        """Let connections rest for less time than one that was forgotten."""
+        now_s = asyncio.get_running_loop().time()
+        self._forgotten_limit_s = FORGOTTEN_SHARE * rested_s
+        self._forgotten_until_s = now_s + FORGOTTEN_MEMORY_S
+
     def clear(self) -> None:
         """Close all idle connections."""
         while self._idle:
--- a/misc/mesh_mutations.py
+++ b/misc/mesh_mutations.py
@@ -185,4 +185,19 @@
         "turn = _Turn(0, next(self._order), self._loop.create_future())",
         "tests.test_mesh_pacer.TestPacer.test_urgent_answers_go_first",
     ),
+    Mutation(
+        "mesh: bookings use no connection that rested",
+        "gypsumlock/mesh/upstream_connection.py",
+        "limit_s = min(limit_s, UNREPEATABLE_IDLE_S)",
+        "pass",
+        f"{_CALLS}.TestForgottenConnections."
+        "test_booking_is_not_lost_to_a_forgotten_connection",
+    ),
+    Mutation(
+        "mesh: a forgotten connection is a lesson",
+        "gypsumlock/mesh/upstream_connection.py",
+        "limit_s = min(limit_s, self._forgotten_limit_s)",
+        "pass",
+        f"{_CALLS}.TestForgottenConnections.test_one_forgotten_connection_is_a_lesson",
+    ),
 )
--- a/tests/standins/mesh_upstream.py
+++ b/tests/standins/mesh_upstream.py
@@ -42,6 +42,8 @@
     running: int = 0
     most_running: int = 0
     connections: int = 0
+    # Idle time after which a connection is forgotten: what comes next is reset.
+    forget_after_s: float = float("inf")
     _server: asyncio.Server | None = None
 
     async def start(self, address: str = "127.0.0.1:0") -> None:
@@ -60,12 +62,18 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        loop = asyncio.get_running_loop()
+        idle_since_s = loop.time()
         try:
             while (call := await _read_call(reader)) is not None:
+                if loop.time() - idle_since_s > self.forget_after_s:
+                    writer.transport.abort()
+                    break
                 if call.target == HEALTH_TARGET:
                     writer.write(_encode_health(self.instance))
                     continue
                 await self._answer(call, reader, writer)
+                idle_since_s = loop.time()
                 if writer.is_closing():
                     break
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
--- a/tests/test_mesh_calls.py
+++ b/tests/test_mesh_calls.py
@@ -148,6 +148,30 @@
         self.assertGreater(float(answer.headers[b"retry-after"]), 0.0)
 
 
+class TestForgottenConnections(MeshCase):
+    """Upstreams that forget idle connections sooner than they announce."""
+
+    async def test_booking_is_not_lost_to_a_forgotten_connection(self) -> None:
+        for place in (self.near, self.far):
+            place.upstream.forget_after_s = 0.3
+        for _ in range(4):
+            answer = await self.fleet.call(self.near, "/book/x", "POST", b"x")
+            self.assertEqual(answer.status, 200)
+            await asyncio.sleep(0.45)
+
+    async def test_one_forgotten_connection_is_a_lesson(self) -> None:
+        self.far.beat(leaving=True)
+        await self.fleet.settle(upstreams=1)
+        upstream = self.near.upstream
+        upstream.forget_after_s = 0.5
+        answers = []
+        for _ in range(4):
+            answers.append(await self.fleet.call(self.near))
+            await asyncio.sleep(0.6)
+        statuses = [answer.status for answer in answers]
+        self.assertEqual(statuses, [200, 502, 200, 200])
+
+
 class TestTimes(MeshCase):
     """Deadlines, timeouts, and clients that leave."""
 
