Refuse a large answer that the owner's link can't carry in time

Change: callers tell the expected size; the owner counts what its link was promised already, takes it off the time to the target, and refuses at once what would take over half of the time left. Placing lets a large call leave its zone when every link there is taken for 0.7 of the target. Test: twelve answers of 0.65 s each over one link; without the mechanism some end at the deadline (504), with it they are answered or refused at once.

--- a/gypsumlock/mesh/admission.py
+++ b/gypsumlock/mesh/admission.py
@@ -26,7 +26,14 @@
 from dataclasses import dataclass
 from enum import Enum
 
-__all__ = ["AdmissionQueue", "ServiceTimes", "Ticket", "TicketState", "Verdict"]
+__all__ = [
+    "LATE_MARGIN",
+    "AdmissionQueue",
+    "ServiceTimes",
+    "Ticket",
+    "TicketState",
+    "Verdict",
+]
 
 # Rank and latency target of a class of calls; smaller is more urgent.
 Urgency = tuple[int, float]
--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -309,6 +309,7 @@
             repeatable=call.route.repeatable,
             target_s=call.route.target_latency_s,
             late_ok=late_ok,
+            answer_bytes=self._answer_bytes(call, view),
             target_left_s=call.target_at_s - now_s,
             deadline_left_s=call.deadline_at_s - now_s,
             method=call.request.method,
@@ -340,6 +341,12 @@
         )
         return outcome
 
+    def _answer_bytes(self, call: _Call, view: UpstreamView) -> int:
+        """Return the expected size of what the owner's link has to carry."""
+        if view.node == self._state.node:
+            return 0
+        return int(self._sizes.get(call.route.name, 0.0))
+
     def _learn(self, call: _Call, view: UpstreamView, outcome: CallOutcome) -> None:
         now_s = self._loop.time()
         if outcome.lost_peer:
--- a/gypsumlock/mesh/link_server.py
+++ b/gypsumlock/mesh/link_server.py
@@ -89,13 +89,21 @@
 
     async def _send_body(self, answer: Answer, rank: int) -> None:
         """Send all but the last piece of a body, as the link takes them."""
+        pacer = self._server.pacer
         *parts, last = pieces_of(answer.body)
-        for part in parts:
-            await self._server.pacer.wait_turn(rank)
-            self.send(AnswerPart(answer.number, part))
-        if parts:
-            await self._server.pacer.wait_turn(rank)
-            answer.body = last
+        left_bytes = len(answer.body)
+        pacer.promise(left_bytes)
+        try:
+            for part in parts:
+                await pacer.wait_turn(rank)
+                self.send(AnswerPart(answer.number, part))
+                pacer.fulfil(len(part))
+                left_bytes -= len(part)
+            if parts:
+                await pacer.wait_turn(rank)
+        finally:
+            pacer.fulfil(left_bytes)
+        answer.body = last
 
 
 class LinkServer:
--- a/gypsumlock/mesh/model.py
+++ b/gypsumlock/mesh/model.py
@@ -174,6 +174,9 @@
     target_s: float
     # True when an answer after the latency target is still wanted.
     late_ok: bool
+    # Expected size of an answer that has to cross the link of the owner's machine, in
+    # bytes; 0 on the caller's own machine.
+    answer_bytes: int
     # Time left to the latency target and to the deadline, in seconds.
     target_left_s: float
     deadline_left_s: float
--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -9,7 +9,13 @@
 import asyncio
 
 from gypsumlock.logs import Part, part_log
-from gypsumlock.mesh.admission import AdmissionQueue, Ticket, TicketState, Verdict
+from gypsumlock.mesh.admission import (
+    LATE_MARGIN,
+    AdmissionQueue,
+    Ticket,
+    TicketState,
+    Verdict,
+)
 from gypsumlock.mesh.call_sink import CallSink
 from gypsumlock.mesh.http_text import encode_request, forwardable
 from gypsumlock.mesh.model import (
@@ -20,6 +26,7 @@
     OwnerLoad,
     Refusal,
 )
+from gypsumlock.mesh.pacer import PIECE_BYTES
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.mesh.upstream_connection import (
     ConnectFailed,
@@ -127,12 +134,18 @@
         code = self._why_not(request, now_s)
         if code is not None:
             return self._refuse(request, code, 0.0)
+        transfer_s = 0.0
+        if request.answer_bytes > PIECE_BYTES:
+            transfer_s = self._state.pacer.egress_s(request.answer_bytes)
+        if transfer_s * LATE_MARGIN > request.deadline_left_s:
+            return self._refuse(request, ResultCode.CALL_OVERLOADED, transfer_s)
         ticket = Ticket(
             route=request.route,
             rank=request.rank,
             target_s=request.target_s,
             late_ok=request.late_ok,
-            target_at_s=now_s + request.target_left_s,
+            # The answer has to be at the link by then.
+            target_at_s=now_s + request.target_left_s - transfer_s,
             deadline_at_s=now_s + request.deadline_left_s,
         )
         verdict = self._queue.offer(ticket, now_s)
@@ -216,6 +229,9 @@
 
     async def _carry(self, request: CallRequest, ticket: Ticket) -> CallOutcome:
         task = self._loop.create_task(self._exchange(request, ticket))
+        pacer = self._state.pacer
+        pacer.promise(request.answer_bytes)
+        task.add_done_callback(lambda _: pacer.fulfil(request.answer_bytes))
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
--- a/gypsumlock/mesh/pacer.py
+++ b/gypsumlock/mesh/pacer.py
@@ -50,19 +50,29 @@
         Counts what is written to the link.
     """
 
-    __slots__ = ("_loop", "_meter", "_order", "_timer", "_turns")
+    __slots__ = ("_loop", "_meter", "_order", "_promised_bytes", "_timer", "_turns")
 
     def __init__(self, meter: LinkMeter) -> None:
         self._meter = meter
         self._loop = asyncio.get_running_loop()
         self._turns: list[_Turn] = []
         self._order = itertools.count()
+        # Bytes of answers that are on their way to the link.
+        self._promised_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
 
-    def egress_s(self) -> float:
-        """Return the expected wait of a large answer that begins now, in seconds."""
-        queued_s = len(self._turns) * self._meter.time_of_s(PIECE_BYTES)
-        return self._meter.backlog_s(self._loop.time()) + queued_s
+    def promise(self, size_bytes: int) -> None:
+        """Count bytes that will be written."""
+        self._promised_bytes += size_bytes
+
+    def fulfil(self, size_bytes: int) -> None:
+        """Count promised bytes that were written, or never will be."""
+        self._promised_bytes -= size_bytes
+
+    def egress_s(self, size_bytes: int = 0) -> float:
+        """Return the expected time until an answer of some size is out, in seconds."""
+        ahead_s = self._meter.backlog_s(self._loop.time())
+        return ahead_s + self._meter.time_of_s(self._promised_bytes + size_bytes)
 
     async def wait_turn(self, rank: int) -> None:
         """Wait until one piece may be written.
--- a/gypsumlock/mesh/placement.py
+++ b/gypsumlock/mesh/placement.py
@@ -29,6 +29,8 @@
 ZONE_S_PER_KIB = 0.006
 # Calls of at least this size leave their zone only if no upstream serves there.
 ZONE_BOUND_BYTES = 65_536
+# Share of the latency target that such a call may take on its owner's link.
+LINK_BOUND_SHARE = 0.7
 # Growth of the risk of a late answer with the expected share of the target.
 RISK_EXPONENT = 4
 # Growth of the cost past the target.
@@ -196,12 +198,14 @@
         """Return the upstreams that a large call may go to."""
         if shape.size_bytes < ZONE_BOUND_BYTES:
             return views
+        link_bound_s = LINK_BOUND_SHARE * route_target_s(shape.route)
         near = [
             view
             for view in views
             if view.zone == self._zone
             and view.load.failure_share < FAILING_SHARE
             and (view.load.accepting or view.freshness(now_s) == 0)
+            and _transfer_s(shape, view, now_s) < link_bound_s
         ]
         return near or views
 
--- a/misc/mesh_mutations.py
+++ b/misc/mesh_mutations.py
@@ -200,4 +200,12 @@
         "pass",
         f"{_CALLS}.TestForgottenConnections.test_one_forgotten_connection_is_a_lesson",
     ),
+    Mutation(
+        "mesh: answers that the link can't carry in time are refused",
+        "gypsumlock/mesh/owner.py",
+        "if transfer_s * LATE_MARGIN > request.deadline_left_s:",
+        "if False:",
+        "tests.test_mesh_pacer.TestNarrowNode."
+        "test_answers_that_the_link_can_t_carry_in_time_are_refused",
+    ),
 )
--- a/tests/test_mesh_pacer.py
+++ b/tests/test_mesh_pacer.py
@@ -122,3 +122,19 @@
         self.assertFalse(large.done())
         self.assertLess(small.took_s, 0.2)
         self.assertEqual(len((await large).body), 40 * PIECE_BYTES)
+
+    async def test_answers_that_the_link_can_t_carry_in_time_are_refused(self) -> None:
+        body = bytes(40 * PIECE_BYTES)
+        script = self.far.upstream.script
+        script.append(answer_with(body))
+        # The first answer shows how large they are; it takes 0.65 s.
+        await self.fleet.call(self.near)
+        script.extend(answer_with(body) for _ in range(12))
+        answers = await asyncio.gather(*(self.fleet.call(self.near) for _ in range(12)))
+        statuses = [answer.status for answer in answers]
+        self.assertEqual(set(statuses), {200, 503})
+        for answer in answers:
+            if answer.status == 503:
+                # Half of the route's target, with the client's own connecting.
+                self.assertLess(answer.took_s, 0.5)
+                self.assertIn(b"retry-after", answer.headers)
