--- a/gypsumlock/mesh/watchers.py
+++ b/gypsumlock/mesh/watchers.py
@@ -24,10 +24,11 @@
 
 # Table of the nodes' records.
 RECORD_TABLE = "gypsumlock-nodes"
-# Longest wait for changes, in seconds. A store that fails silently swallows the call
-# that waits there, and nobody is told once it is back: the wait is short enough for
-# that to be noticed in time.
-WAIT_S = 1.5
+# Longest waits for changes, in seconds. A store that fails silently swallows the call
+# that waits there, and nobody is told once it is back: the wait for a version is short
+# enough for that to be noticed in time. A record that comes late costs a refusal.
+CONFIG_WAIT_S = 2.0
+RECORD_WAIT_S = 4.0
 # Changes are collected for so long before the store is asked again: the store is
 # called once for many changes.
 BATCH_S = 0.5
@@ -64,11 +65,19 @@
         What the node knows.
     cursor : TableCursor
         How far the table was followed; other nodes may move it on.
+    wait_s : float
+        Longest wait for changes, in seconds.
     """
 
     def __init__(
-        self, store: FeedStore, table: str, feed: FleetFeed, cursor: TableCursor
+        self,
+        store: FeedStore,
+        table: str,
+        feed: FleetFeed,
+        cursor: TableCursor,
+        wait_s: float,
     ) -> None:
+        self._wait_s = wait_s
         self._store = store
         self._table = table
         self._feed = feed
@@ -112,7 +121,8 @@
     async def _wait_for_changes(self) -> None:
         # A store that failed, or was not asked for a while, is asked for what it
         # has, not for what may come.
-        wait_s = WAIT_S if self._cursor.reachable and self._cursor.confirmed else 0.0
+        asked_before = self._cursor.reachable and self._cursor.confirmed
+        wait_s = self._wait_s if asked_before else 0.0
         after = self._cursor.upto
         changes = await self._store.wait_changes(self._table, after, wait_s)
         if isinstance(changes, Err):
@@ -171,7 +181,7 @@
     def __init__(
         self, store: FeedStore, feed: FleetFeed, table: str, key: str, decode: Decode
     ) -> None:
-        super().__init__(store, table, feed, feed.config_cursor)
+        super().__init__(store, table, feed, feed.config_cursor, CONFIG_WAIT_S)
         self._key = key
         self._decode = decode
 
@@ -211,7 +221,7 @@
     """
 
     def __init__(self, store: FeedStore, state: MeshState, feed: FleetFeed) -> None:
-        super().__init__(store, RECORD_TABLE, feed, feed.records_cursor)
+        super().__init__(store, RECORD_TABLE, feed, feed.records_cursor, RECORD_WAIT_S)
         self._state = state
 
     def replace(self, whole: TableChanges) -> None:
