Keep slots for all that was asked for, and count waits by what was taken

Change: two counts. What was asked for here keeps slots free, as before; what was taken here says which slots more urgent calls leave, for the expected wait. Test: a call behind steady urgent ones expects a longer wait; fails without.

--- a/gypsumlock/mesh/admission.py
+++ b/gypsumlock/mesh/admission.py
@@ -178,6 +178,7 @@
         "_progress_at_s",
         "_running",
         "_since_lowest",
+        "_taken",
         "_waiting",
         "in_flight",
         "slots",
@@ -191,7 +192,9 @@
         self._waiting: list[Ticket] = []
         self._since_lowest = 0
         self._progress_at_s = 0.0
+        # What was asked for here, and the part of it that was not refused.
         self._demand = Demand()
+        self._taken = Demand()
         # Calls at the upstream by class.
         self._running: Counter[Urgency] = Counter()
 
@@ -213,10 +216,10 @@
         ticket.offered_at_s = now_s
         ticket.service_s = self.times.of(ticket.route)
         ticket.safe_s = self.times.safe(ticket.route)
+        self._demand.note(ticket.urgency, ticket.service_s, now_s)
         verdict = self._judge(ticket, now_s)
         if verdict.state is not TicketState.DROPPED:
-            # A refused call asks elsewhere, and is counted where it is taken.
-            self._demand.note(ticket.urgency, ticket.service_s, now_s)
+            self._taken.note(ticket.urgency, ticket.service_s, now_s)
         return verdict
 
     def _judge(self, ticket: Ticket, now_s: float) -> Verdict:
@@ -304,9 +307,7 @@
             ahead_s += ticket.service_s
         mean_s = self.times.overall_s
         stalled_s = now_s - self._progress_at_s - STALL_SERVICES * mean_s
-        room = max(
-            MIN_ROOM_SHARE * self.slots, self.slots - self._demand.above(urgency)
-        )
+        room = max(MIN_ROOM_SHARE * self.slots, self.slots - self._taken.above(urgency))
         return (ahead_s + mean_s) / room + max(0.0, stalled_s)
 
     def waits_by_rank(self, now_s: float) -> tuple[float, ...]:
--- a/misc/mesh_mutations.py
+++ b/misc/mesh_mutations.py
@@ -215,4 +215,12 @@
         "pass",
         f"{_CALLS}.TestSilence.test_stopping_node_waits_for_a_silent_one",
     ),
+    Mutation(
+        "mesh: a wait counts urgent calls to come",
+        "gypsumlock/mesh/admission.py",
+        "self.slots - self._taken.above(urgency)",
+        "self.slots",
+        f"{_FLOOD}.TestAdmissionQueue."
+        "test_wait_counts_urgent_calls_that_are_still_to_come",
+    ),
 )
--- a/tests/test_mesh_admission.py
+++ b/tests/test_mesh_admission.py
@@ -112,6 +112,27 @@
         self.assertEqual(queue.in_flight, 2)
         self.assertIsNot(queue.offer(late, 4.0).state, TicketState.ADMITTED)
 
+    def test_wait_counts_urgent_calls_that_are_still_to_come(self) -> None:
+        queue = AdmissionQueue()
+        queue.slots = 4
+        queue.times.note("rank-0", 0.3)
+        held = []
+        # Urgent calls keep about three of the four slots busy.
+        for number in range(100):
+            now_s = number * 0.1
+            ticket = make_ticket(now_s=now_s)
+            queue.offer(ticket, now_s)
+            held.append(ticket)
+            if len(held) > 3:
+                queue.release(held.pop(0), now_s, 0.3)
+        queue.offer(make_ticket(now_s=now_s), now_s)
+        low = make_ticket(rank=2, target_s=9.0, now_s=now_s)
+        urgent = make_ticket(rank=0, target_s=0.5, now_s=now_s)
+        waits_s = [
+            queue.expected_wait_s(x.order(), x.urgency, now_s) for x in (urgent, low)
+        ]
+        self.assertGreater(waits_s[1], 3 * waits_s[0])
+
     def test_stalled_upstream_takes_no_further_calls(self) -> None:
         queue, _ = full_queue()
         verdict = queue.offer(make_ticket(now_s=3.0), 3.0)
