Ask for answers that come before a stopping node ends, and send all pieces before a stop

And an owner that stopped did not count pieces that were still to be sent. Change: a call's deadline is the process's end at the latest; a stop waits until every call of another node is answered to its last piece.

--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -190,6 +190,8 @@
         if asked_ms is not None:
             age_s = self._ages.age_s(route.name, asked_ms / 1000, request.received_s)
             left_s = min(left_s, asked_ms / 1000)
+        # An answer that comes after this process has ended reaches nobody.
+        left_s = min(left_s, self._state.ends_at_s - request.received_s)
         set_here = (names.deadline_ms, names.target_instance, names.caller_service)
         headers = [x for x in forwardable(request.headers) if x[0] not in set_here]
         headers.append((names.caller_service, self._state.service.encode()))
--- a/gypsumlock/mesh/link_server.py
+++ b/gypsumlock/mesh/link_server.py
@@ -87,6 +87,10 @@
             self._tasks.pop(request.number, None)
             self._requests.pop(request.number, None)
 
+    def busy(self) -> bool:
+        """Tell whether a call is still to be answered, to its last piece."""
+        return bool(self._tasks)
+
     async def _send_body(self, answer: Answer, rank: int) -> None:
         """Send all but the last piece of a body, as the link takes them."""
         pacer = self._server.pacer
@@ -148,6 +152,10 @@
         for link in list(self.links):
             link.abort()
 
+    def busy(self) -> bool:
+        """Tell whether a call of another node is still to be answered."""
+        return any(link.busy() for link in self.links)
+
     def report(self, load: OwnerLoad) -> None:
         """Tell all callers the load of the upstream."""
         for link in list(self.links):
--- a/gypsumlock/mesh/node.py
+++ b/gypsumlock/mesh/node.py
@@ -37,9 +37,7 @@
 
 # Time after a stop request in which clients learn that the node is not ready.
 LEARN_S = 2.4
-# Time before the end of the grace period by which the process ends.
-END_MARGIN_S = 0.6
-# Time before that at which calls without a slot are refused.
+# Time before the end of the process at which calls without a slot are refused.
 WITHDRAW_S = 0.4
 # Time without a call in flight after which a stopping process ends.
 QUIET_S = 0.2
@@ -145,12 +143,12 @@
         # Whoever still waits here can have a slot elsewhere, but not here in time.
         self.owner.withdraw_all()
         await asyncio.sleep(LEARN_S - STOP_PEERS_S)
-        end_s = began_s + self.state.bounds.grace_s - END_MARGIN_S
+        end_s = self.state.ends_at_s
         quiet_since_s = loop.time()
         while loop.time() < end_s:
             self.calls.close_idle()
             now_s = loop.time()
-            if self.calls.busy() or self.owner.busy():
+            if self.calls.busy() or self.owner.busy() or self.peers.busy():
                 quiet_since_s = now_s
             if now_s > end_s - WITHDRAW_S and not self.state.ending:
                 self.state.ending = True
--- a/gypsumlock/mesh/state.py
+++ b/gypsumlock/mesh/state.py
@@ -15,6 +15,9 @@
 
 __all__ = ["MeshBounds", "MeshState"]
 
+# Time before the end of the grace period by which a stopping process ends.
+END_MARGIN_S = 0.6
+
 
 class MeshBounds:
     """Bounds that the users of the fleet set, with their units."""
@@ -123,6 +126,13 @@
         """True once the process was asked to stop."""
         return self.stopping_since_s is not None
 
+    @property
+    def ends_at_s(self) -> float:
+        """Monotonic time by which a stopping process ends; infinite before."""
+        if self.stopping_since_s is None:
+            return float("inf")
+        return self.stopping_since_s + self.bounds.grace_s - END_MARGIN_S
+
     def ready(self) -> bool:
         """Tell whether clients may send calls here."""
         return self.table is not None and self.directory_known and not self.stopping
--- a/misc/mesh_mutations.py
+++ b/misc/mesh_mutations.py
@@ -223,4 +223,11 @@
         f"{_FLOOD}.TestAdmissionQueue."
         "test_wait_counts_urgent_calls_that_are_still_to_come",
     ),
+    Mutation(
+        "mesh: a stopping node asks for answers before its end",
+        "gypsumlock/mesh/caller.py",
+        "left_s = min(left_s, self._state.ends_at_s - request.received_s)",
+        "pass",
+        f"{_CALLS}.TestLeaving.test_stopping_node_asks_for_answers_before_its_end",
+    ),
 )
--- a/tests/test_mesh_calls.py
+++ b/tests/test_mesh_calls.py
@@ -342,6 +342,14 @@
         async with asyncio.timeout(6.0):
             await self.near.task
 
+    async def test_stopping_node_asks_for_answers_before_its_end(self) -> None:
+        self.near.node.state.bounds.grace_s = 2.0
+        self.near.stop.set()
+        await asyncio.sleep(0.2)
+        await self.fleet.call(self.near, deadline_ms=9000)
+        call = (self.near.upstream.calls + self.far.upstream.calls)[-1]
+        self.assertLess(int(call.headers[b"deadline-ms"]), 1400)
+
     async def test_stop_refuses_calls_that_never_got_a_slot(self) -> None:
         self.fleet.configure(make_config(2, timeout_s=20.0, target_latency_s=15.0))
         await TestTimes.wait_version(self, 2)  # type: ignore[arg-type]
--- a/tests/test_mesh_pacer.py
+++ b/tests/test_mesh_pacer.py
@@ -113,6 +113,18 @@
         answer = await self.fleet.call(self.near)
         self.assertEqual((answer.status, answer.body), (200, body))
 
+    async def test_stopping_owner_sends_all_pieces(self) -> None:
+        self.far.upstream.script.append(answer_with(bytes(60 * PIECE_BYTES)))
+        large = asyncio.create_task(self.fleet.call(self.near))
+        await asyncio.sleep(0.1)
+        owner = self.far.node
+        stopping = asyncio.create_task(owner._stop())
+        # The upstream is done; its answer takes a second on the link.
+        self.assertFalse(owner.owner.busy())
+        self.assertTrue(owner.peers.busy())
+        self.assertEqual(len((await large).body), 60 * PIECE_BYTES)
+        stopping.cancel()
+
     async def test_small_answers_overtake_a_large_one(self) -> None:
         self.far.upstream.script.append(answer_with(bytes(40 * PIECE_BYTES)))
         large = asyncio.create_task(self.fleet.call(self.near))
