--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -15,16 +15,14 @@
 import asyncio
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 
 import msgspec
 
 from gypsumlock.http_headers import Headers
 from gypsumlock.logs import Part, part_log
-from gypsumlock.mesh.client_age import ClientAges
+from gypsumlock.mesh.call_classifier import Call, CallClassifier
 from gypsumlock.mesh.directory import Directory
 from gypsumlock.mesh.http_server import HttpHandler, HttpRequest, ServerConnection
-from gypsumlock.mesh.http_text import forwardable
 from gypsumlock.mesh.model import (
     Answer,
     CallOutcome,
@@ -32,11 +30,9 @@
     ClientLimits,
     Failure,
     Refusal,
-    RouteSpec,
 )
 from gypsumlock.mesh.placement import CallShape, Placement, UpstreamView
 from gypsumlock.mesh.retry_budget import RetryBudget
-from gypsumlock.mesh.share_counter import ShareCounter
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.metrics import Metrics
 from gypsumlock.result_codes import ResultCode, entry_of
@@ -56,8 +52,6 @@
 # Owners asked for a punctual answer, and then for a late one.
 PUNCTUAL_OFFERS = 4
 LATE_OFFERS = 2
-# Calls that a stopping node still takes, counted from the stop request.
-STOP_CALLS_S = 3.0
 # Weight of the newest sample in the mean size of a route's calls.
 SIZE_WEIGHT = 0.1
 SERVER_ERROR = 500
@@ -65,32 +59,6 @@
 MAX_LOGGED_AGE_S = 999.0
 
 
-@dataclass(slots=True)
-class _Call:
-    """One classified call and what has become of it so far."""
-
-    route: RouteSpec
-    service: str
-    version: int
-    request: HttpRequest
-    request_id: bytes
-    headers: Headers
-    target_at_s: float
-    deadline_at_s: float
-    # Upstreams that were sent the call, or may have been.
-    sent_to: set[str] = field(default_factory=set)
-    # Owners that take nothing for the service, late or not.
-    closed: set[str] = field(default_factory=set)
-    # True once the call may have run.
-    unknown: bool = False
-    # True while a repeat was taken from the budget, but not made yet.
-    repeat_paid: bool = False
-    retry_after_s: float = 0.0
-    # The best answer so far that is not a good one.
-    spare: Answer | None = None
-    refusal_code: ResultCode = ResultCode.CALL_NO_UPSTREAM
-
-
 class Caller(HttpHandler):
     """Routes calls, and repeats them where that is safe.
 
@@ -109,14 +77,13 @@
     """
 
     __slots__ = (
-        "_ages",
         "_budgets",
         "_chance",
+        "_classifier",
         "_directory",
         "_loop",
         "_metrics",
         "_placement",
-        "_shares",
         "_sizes",
         "_state",
     )
@@ -135,8 +102,7 @@
         self._metrics = metrics
         self._chance = chance
         self._loop = asyncio.get_running_loop()
-        self._shares = ShareCounter()
-        self._ages = ClientAges()
+        self._classifier = CallClassifier(state)
         self._budgets: dict[str, RetryBudget] = {}
         # Mean size of request and answer by route, in bytes.
         self._sizes: dict[str, float] = {}
@@ -148,8 +114,8 @@
 
     async def handle(self, request: HttpRequest, connection: ServerConnection) -> None:
         """Carry one call to its answer, or refuse it."""
-        call = self._classify(request)
-        if not isinstance(call, _Call):
+        call = self._classifier.classify(request)
+        if not isinstance(call, Call):
             retry_after_s = 0.0 if call is ResultCode.CALL_NO_ROUTE else 0.3
             self._answer_code(connection, request, call, retry_after_s)
             return
@@ -169,47 +135,9 @@
         else:
             self._finish(call, connection, call.refusal_code)
 
-    # --- phase 1 ---
-
-    def _classify(self, request: HttpRequest) -> _Call | ResultCode:
-        table = self._state.table
-        if table is None:
-            return ResultCode.CALL_NOT_READY
-        path = request.target.partition(b"?")[0].decode("latin-1")
-        host = (request.header(b"host") or b"").decode("latin-1")
-        route = table.route_of(host.partition(":")[0], path)
-        if route is None:
-            return ResultCode.CALL_NO_ROUTE
-        since_s = self._state.stopping_since_s
-        if since_s is not None and request.received_s - since_s > STOP_CALLS_S:
-            return ResultCode.CALL_LEAVING
-        names = self._state.headers
-        left_s = route.timeout_s
-        asked_ms = _positive_int(request.header(names.deadline_ms))
-        age_s = 0.0
-        if asked_ms is not None:
-            age_s = self._ages.age_s(route.name, asked_ms / 1000, request.received_s)
-            left_s = min(left_s, asked_ms / 1000)
-        # An answer that comes after this process has ended reaches nobody.
-        left_s = min(left_s, self._state.ends_at_s - request.received_s)
-        set_here = (names.deadline_ms, names.target_instance, names.caller_service)
-        headers = [x for x in forwardable(request.headers) if x[0] not in set_here]
-        headers.append((names.caller_service, self._state.service.encode()))
-        return _Call(
-            route=route,
-            service=self._shares.choose_service(route),
-            version=table.version,
-            request=request,
-            request_id=request.header(names.request_id) or b"",
-            headers=headers,
-            target_at_s=request.received_s
-            + min(route.target_latency_s - age_s, left_s),
-            deadline_at_s=request.received_s + left_s,
-        )
-
     # --- phases 2 to 4 ---
 
-    async def _find_answer(self, call: _Call) -> Answer | None:
+    async def _find_answer(self, call: Call) -> Answer | None:
         """Return an answer to pass on, or None."""
         budget = self._budget(call.service)
         budget.note_first(self._loop.time())
@@ -226,7 +154,7 @@
             call.repeat_paid = False
             self._metrics.count("retry")
 
-    def _may_repeat(self, call: _Call, outcome: CallOutcome | None) -> bool:
+    def _may_repeat(self, call: Call, outcome: CallOutcome | None) -> bool:
         if outcome is None:
             return False
         ran = not isinstance(outcome, Refusal)
@@ -234,7 +162,7 @@
             return False
         return self._has_another(call, call.sent_to)
 
-    def _has_another(self, call: _Call, tried: set[str]) -> bool:
+    def _has_another(self, call: Call, tried: set[str]) -> bool:
         """Tell whether one more upstream may be sent a call."""
         if len(tried) >= call.route.max_attempts:
             return False
@@ -243,7 +171,7 @@
             for view in self._directory.views(call.service)
         )
 
-    def _pay_repeat(self, call: _Call) -> bool:
+    def _pay_repeat(self, call: Call) -> bool:
         """Take a repeat from the budget, once for each repeat."""
         if call.repeat_paid:
             return True
@@ -254,7 +182,7 @@
         call.repeat_paid = True
         return True
 
-    def _may_give_up(self, call: _Call, silent: UpstreamView) -> bool:
+    def _may_give_up(self, call: Call, silent: UpstreamView) -> bool:
         """Tell whether a call goes elsewhere rather than wait for a silent node.
 
         A call that can't be sent again would only be lost: its answer may still come.
@@ -264,7 +192,7 @@
         tried = call.sent_to | {silent.node}
         return self._has_another(call, tried) and self._pay_repeat(call)
 
-    async def _offer_around(self, call: _Call) -> CallOutcome | None:
+    async def _offer_around(self, call: Call) -> CallOutcome | None:
         """Offer the call until an upstream was sent it; None if none took it."""
         for late_ok, offers in ((False, PUNCTUAL_OFFERS), (True, LATE_OFFERS)):
             if not late_ok and self._loop.time() >= call.target_at_s:
@@ -282,7 +210,7 @@
                     call.closed.add(view.node)
         return None
 
-    def _candidates(self, call: _Call) -> Sequence[UpstreamView]:
+    def _candidates(self, call: Call) -> Sequence[UpstreamView]:
         views = [
             view
             for view in self._directory.views(call.service)
@@ -292,14 +220,14 @@
         shape = CallShape(call.route, size_bytes)
         return self._placement.rank(shape, views, self._loop.time())
 
-    def _note_refusal(self, call: _Call, outcome: Refusal) -> None:
+    def _note_refusal(self, call: Call, outcome: Refusal) -> None:
         call.refusal_code = ResultCode(outcome.code)
         if outcome.retry_after_s > 0:
             known_s = call.retry_after_s or outcome.retry_after_s
             call.retry_after_s = min(known_s, outcome.retry_after_s)
 
     async def _attempt(
-        self, call: _Call, view: UpstreamView, late_ok: bool
+        self, call: Call, view: UpstreamView, late_ok: bool
     ) -> CallOutcome:
         now_s = self._loop.time()
         request = CallRequest(
@@ -343,13 +271,13 @@
         )
         return outcome
 
-    def _answer_bytes(self, call: _Call, view: UpstreamView) -> int:
+    def _answer_bytes(self, call: Call, view: UpstreamView) -> int:
         """Return the expected size of what the owner's link has to carry."""
         if view.node == self._state.node:
             return 0
         return int(self._sizes.get(call.route.name, 0.0))
 
-    def _learn(self, call: _Call, view: UpstreamView, outcome: CallOutcome) -> None:
+    def _learn(self, call: Call, view: UpstreamView, outcome: CallOutcome) -> None:
         now_s = self._loop.time()
         if outcome.lost_peer:
             if not view.avoided:
@@ -375,7 +303,7 @@
     # --- phase 5 ---
 
     def _pass_on(
-        self, call: _Call, connection: ServerConnection, answer: Answer
+        self, call: Call, connection: ServerConnection, answer: Answer
     ) -> None:
         name = call.route.name
         size = float(len(answer.body) + len(call.request.body))
@@ -385,7 +313,7 @@
         self._note(call, "call answered", answer.status)
 
     def _finish(
-        self, call: _Call, connection: ServerConnection, code: ResultCode
+        self, call: Call, connection: ServerConnection, code: ResultCode
     ) -> None:
         retry_after_s = call.retry_after_s or NO_UPSTREAM_RETRY_S
         # Clients that were refused together must not come back together.
@@ -411,7 +339,7 @@
         self._metrics.count(f"refused.{code.name.lower()}")
         connection.answer(entry.http_status, headers, body)
 
-    def _note(self, call: _Call, sentence: str, status: int) -> None:
+    def _note(self, call: Call, sentence: str, status: int) -> None:
         took_s = self._loop.time() - call.request.received_s
         self._metrics.record_latency(call.route.name, took_s)
         log.info(
@@ -425,9 +353,3 @@
             status=status,
             took_ms=round(took_s * 1000, 1),
         )
-
-
-def _positive_int(value: bytes | None) -> int | None:
-    if value is None or not value.isdigit():
-        return None
-    return int(value)
--- a/gypsumlock/mesh/node.py
+++ b/gypsumlock/mesh/node.py
@@ -18,7 +18,8 @@
 
 from gypsumlock.controller import Controller
 from gypsumlock.logs import Part, part_log
-from gypsumlock.mesh.caller import STOP_CALLS_S, Caller
+from gypsumlock.mesh.call_classifier import STOP_CALLS_S
+from gypsumlock.mesh.caller import Caller
 from gypsumlock.mesh.directory import Directory
 from gypsumlock.mesh.feed_follower import FeedFollower
 from gypsumlock.mesh.feed_relay import FeedRelay
--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -32,8 +32,8 @@
     ConnectFailed,
     ExchangeFailed,
     UpstreamAnswer,
-    UpstreamPool,
 )
+from gypsumlock.mesh.upstream_pool import UpstreamPool
 from gypsumlock.result_codes import ResultCode
 
 __all__ = ["Owner"]
--- a/gypsumlock/mesh/upstream_probe.py
+++ b/gypsumlock/mesh/upstream_probe.py
@@ -17,8 +17,8 @@
     ConnectFailed,
     ExchangeFailed,
     UpstreamAnswer,
-    UpstreamPool,
 )
+from gypsumlock.mesh.upstream_pool import UpstreamPool
 from gypsumlock.mesh.upstream_registry import UpstreamIncarnation
 
 __all__ = ["probe_upstream"]
--- a/gypsumlock/platform/store_client.py
+++ b/gypsumlock/platform/store_client.py
@@ -15,8 +15,8 @@
     ExchangeFailed,
     SilenceBound,
     UpstreamAnswer,
-    UpstreamPool,
 )
+from gypsumlock.mesh.upstream_pool import UpstreamPool
 from gypsumlock.result_codes import Fault, ResultCode
 
 __all__ = ["PlatformStore"]
--- a/misc/mesh_mutations.py
+++ b/misc/mesh_mutations.py
@@ -57,7 +57,7 @@
     ),
     Mutation(
         "mesh: calls are taken on a safe service time",
-        "gypsumlock/mesh/admission.py",
+        "gypsumlock/mesh/load_estimates.py",
         "SAFE_DEVIATIONS = 2.0",
         "SAFE_DEVIATIONS = 0.0",
         f"{_FLOOD}.TestFlood."
@@ -73,7 +73,7 @@
     ),
     Mutation(
         "mesh: connecting is bounded",
-        "gypsumlock/mesh/upstream_connection.py",
+        "gypsumlock/mesh/upstream_pool.py",
         "CONNECT_TIMEOUT_S = 0.5",
         "CONNECT_TIMEOUT_S = 4.0",
         "tests.test_platform_adapter.TestStorePartition",
@@ -187,7 +187,7 @@
     ),
     Mutation(
         "mesh: bookings use no connection that rested",
-        "gypsumlock/mesh/upstream_connection.py",
+        "gypsumlock/mesh/upstream_pool.py",
         "limit_s = min(limit_s, UNREPEATABLE_IDLE_S)",
         "pass",
         f"{_CALLS}.TestForgottenConnections."
@@ -195,7 +195,7 @@
     ),
     Mutation(
         "mesh: a forgotten connection is a lesson",
-        "gypsumlock/mesh/upstream_connection.py",
+        "gypsumlock/mesh/upstream_pool.py",
         "limit_s = min(limit_s, self._forgotten_limit_s)",
         "pass",
         f"{_CALLS}.TestForgottenConnections.test_one_forgotten_connection_is_a_lesson",
@@ -225,7 +225,7 @@
     ),
     Mutation(
         "mesh: a stopping node asks for answers before its end",
-        "gypsumlock/mesh/caller.py",
+        "gypsumlock/mesh/call_classifier.py",
         "left_s = min(left_s, self._state.ends_at_s - request.received_s)",
         "pass",
         f"{_CALLS}.TestLeaving.test_stopping_node_asks_for_answers_before_its_end",
--- a/tests/test_mesh_calls.py
+++ b/tests/test_mesh_calls.py
@@ -427,7 +427,8 @@
             asyncio.create_task(self.fleet.call(self.near, "/book/x", "POST", b"x"))
             for _ in range(4)
         ]
-        await asyncio.sleep(0.05)
+        while self.far.upstream.running + self.third.upstream.running < len(calls):
+            await asyncio.sleep(0.005)
         self.near.stop.set()
         for place in (self.far, self.third):
             self.silence(place)
