Keep a node alive when a record is dropped while it connects to sources

Cause: found while reading: the address of a source was looked up after a switch of tasks, in which a row that names no upstream can drop the record; the KeyError ended the node. Test: fails with KeyError before, passes after it; 19 of 19 of test_mesh_feed.

--- a/gypsumlock/mesh/feed_follower.py
+++ b/gypsumlock/mesh/feed_follower.py
@@ -196,7 +196,10 @@
         self._decide(readers)
         if self._feed.is_reader:
             self._feed.sources_settled.set()
-        await asyncio.gather(*(self._connect(node) for node in missing))
+        # Taken now: a record may be dropped while others are connected to.
+        addresses = [self._feed.records[node].record.peer_address for node in missing]
+        connects = map(self._connect, missing, addresses)
+        await asyncio.gather(*connects)
         self._decide(readers)
         if not self._sources or self._any_fresh():
             self._feed.sources_settled.set()
@@ -249,9 +252,8 @@
         self._penalties[node] = _Penalty(until_s, length_s)
         log.info("source lost", source=node, not_asked_s=length_s)
 
-    async def _connect(self, node: str) -> None:
-        record = self._feed.records[node].record
-        host, _, port = record.peer_address.rpartition(":")
+    async def _connect(self, node: str, address: str) -> None:
+        host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- a/tests/test_mesh_feed.py
+++ b/tests/test_mesh_feed.py
@@ -198,6 +198,17 @@
         # Half of the time for which a start waits for other nodes.
         self.assertLess(took_s, 0.3)
 
+    async def test_record_dropped_while_connecting_ends_no_node(self) -> None:
+        node = self.fleet.places[4].node
+        for source in node.follower._sources.values():
+            source.abort()
+        node.follower._sources.clear()
+        tick = asyncio.create_task(node.follower._tick())
+        await asyncio.sleep(0)
+        readers = [place.name for place in self.fleet.places[:2]]
+        node.feed.drop_records(readers, self.fleet.store.version)
+        await tick
+
     async def test_restarted_node_is_handed_the_version(self) -> None:
         place = self.fleet.places[4]
         await self.fleet.restart(place)
