--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import random
 import shlex
 import signal
 import socket
@@ -40,6 +41,10 @@
 MEMORY_LIMIT_MB = float(os.environ.get("MEMORY_LIMIT_MB", "150"))
 MEMORY_POLL_INTERVAL_S = 0.02
 PAUSE_S = 0.02
+# Range of the ports that the fleet listens on.
+FIRST_PORT = 12_000
+LAST_PORT = 30_000
+_used_ports: set[int] = set()
 
 
 def trouble_enabled() -> bool:
@@ -48,10 +53,15 @@
 
 
 def free_address() -> str:
-    """Return a loopback address with a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return a loopback address with a free port, below the ephemeral ports."""
+    while True:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        if port in _used_ports:
+            continue
+        _used_ports.add(port)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return f"127.0.0.1:{port}"
 
 
 def route(
