--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 import tomllib
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from types import TracebackType
 from typing import Any
@@ -36,6 +37,7 @@
 
 REPOSITORY = Path(__file__).parents[2]
 READY_TIMEOUT_S = 20.0
+CASE_TIMEOUT_S = 110.0
 HOST = "a.example"
 # `memory_mb` of the machines: the platform kills a process that exceeds it.
 MEMORY_LIMIT_MB = float(os.environ.get("MEMORY_LIMIT_MB", "150"))
@@ -365,10 +367,17 @@
         await asyncio.sleep(MEMORY_POLL_INTERVAL_S)
 
 
-def main(case: Any) -> None:
+def main(case: Callable[[], Coroutine[Any, Any, bool]]) -> None:
     """Run a case; exit with 0 if the rule held, 1 if not, 2 if it could not run."""
+
+    async def run() -> bool:
+        async with asyncio.timeout(CASE_TIMEOUT_S):
+            return await case()
+
+    # The fleet ends its processes also when the case itself is ended.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
-        held = asyncio.run(case())
+        held = asyncio.run(run())
     except Exception as error:
         print(f"the case could not run: {type(error).__name__} {error}")
         sys.exit(2)
