Receive bodies into one buffer, and bound what counts no bytes

Its node grew by some 120 MB a second and was killed at its memory limit; eight calls that a sound upstream had run got no answer.

Cause: each chunk was an object of its own until the body was complete. The limits count the bytes of bodies: 1 MB in chunks of two bytes took 62.7 MB (tracemalloc).

Change: bodies of upstreams, of clients and of other nodes are received into one buffer. The same cause on related paths: a response has at most 1,000 headers; a body of another call no longer extends the limit of the head after it; a version of another node is decompressed up to 32 MiB; chunks of an answer are cut one at a time; a large body is not joined to its head.

--- a/gypsumlock/mesh/caller_protocol.py
+++ b/gypsumlock/mesh/caller_protocol.py
@@ -33,7 +33,7 @@
 class PendingCall:
     """A call that has no outcome yet."""
 
-    __slots__ = ("chunks", "future", "may_fail_over", "repeatable")
+    __slots__ = ("body", "future", "may_fail_over", "repeatable")
 
     def __init__(
         self,
@@ -44,8 +44,8 @@
         self.future = future
         self.repeatable = repeatable
         self.may_fail_over = may_fail_over
-        # Chunks of the response body that have arrived.
-        self.chunks: list[bytes] = []
+        # The part of the response body that has arrived.
+        self.body = bytearray()
 
     def resolve(self, outcome: CallOutcome) -> None:
         """Set the outcome, unless the caller was cancelled."""
@@ -97,13 +97,14 @@
         if isinstance(message, Answer | Refusal | Failure):
             pending = self.pending.pop(message.number, None)
             if pending is not None:
-                if isinstance(message, Answer) and pending.chunks:
-                    message.body = b"".join([*pending.chunks, message.body])
+                if isinstance(message, Answer) and pending.body:
+                    pending.body += message.body
+                    message.body = bytes(pending.body)
                 pending.resolve(message)
         elif isinstance(message, AnswerChunk):
             partial = self.pending.get(message.number)
             if partial is not None:
-                partial.chunks.append(message.body)
+                partial.body += message.body
         elif isinstance(message, LoadReport):
             self._listener.store_load_report(message.load)
         elif isinstance(message, Pong) and message.number in self._ping_sent_at_s:
--- a/gypsumlock/mesh/feed_messages.py
+++ b/gypsumlock/mesh/feed_messages.py
@@ -36,6 +36,8 @@
 
 # Low levels of zlib compress a configuration nearly as well as high ones.
 COMPRESSION_LEVEL = 3
+# Largest configuration version, decompressed.
+MAX_CONFIG_BYTES = 33_554_432
 
 
 class FollowRequest(msgspec.Struct, array_like=True, tag=10):
@@ -155,7 +157,7 @@
 def unpack_delta(packed: PackedDelta) -> ConfigDelta | None:
     """Return the delta that a message holds, or None if it can't be decoded."""
     try:
-        data = zlib.decompress(packed.data)
+        data = _decompress(packed.data)
         return msgspec.msgpack.decode(data, type=ConfigDelta)
     except (zlib.error, msgspec.DecodeError, msgspec.ValidationError):
         return None
@@ -171,7 +173,16 @@
 def unpack_config(snapshot: ConfigSnapshot) -> MeshConfig | None:
     """Return the version that a message holds, or None if it can't be decoded."""
     try:
-        data = zlib.decompress(snapshot.data)
+        data = _decompress(snapshot.data)
         return msgspec.msgpack.decode(data, type=MeshConfig)
     except (zlib.error, msgspec.DecodeError, msgspec.ValidationError):
         return None
+
+
+def _decompress(data: bytes) -> bytes:
+    """Decompress data; raises zlib.error if it is incomplete or becomes too large."""
+    decompressor = zlib.decompressobj()
+    decompressed = decompressor.decompress(data, MAX_CONFIG_BYTES)
+    if not decompressor.eof:
+        raise zlib.error("incomplete or too large")
+    return decompressed
--- a/gypsumlock/mesh/frames.py
+++ b/gypsumlock/mesh/frames.py
@@ -35,6 +35,9 @@
 ]
 
 MAX_FRAME_BYTES = 134_217_728
+# Size up to which a message is copied behind its length, so that both leave in one
+# write.
+MAX_JOINED_BYTES = 65_536
 _LENGTH = struct.Struct(">I")
 
 
@@ -151,7 +154,11 @@
             return False
         data = _ENCODER.encode(message)
         self._meter.record_write(len(data), self.loop.time())
-        transport.write(_LENGTH.pack(len(data)) + data)
+        if len(data) <= MAX_JOINED_BYTES:
+            transport.write(_LENGTH.pack(len(data)) + data)
+        else:
+            transport.write(_LENGTH.pack(len(data)))
+            transport.write(data)
         return True
 
     def abort(self) -> None:
--- a/gypsumlock/mesh/http_server.py
+++ b/gypsumlock/mesh/http_server.py
@@ -41,6 +41,8 @@
 # Requests of one connection that may wait while another one is handled.
 MAX_PIPELINED_REQUESTS = 16
 LISTEN_BACKLOG = 1024
+# Size up to which a body is copied behind its head, so that both leave in one write.
+MAX_JOINED_BYTES = 65_536
 # Limits that apply until a configuration is known.
 DEFAULT_LIMITS = ClientLimits(16_384, 67_108_864, 5.0, 60.0)
 
@@ -129,7 +131,6 @@
 
     __slots__ = (
         "_body",
-        "_body_bytes",
         "_current",
         "_header_bytes",
         "_headers",
@@ -157,8 +158,8 @@
         self._target = b""
         self._headers: Headers = []
         self._header_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        # One buffer, as an object for each chunk would take many times its bytes.
+        self._body = bytearray()
 
     @property
     def busy(self) -> bool:
@@ -208,8 +209,7 @@
         self._target = b""
         self._headers = []
         self._header_bytes = 0
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
         if self._current is None:
             self._start_timer(self._server.handler.limits().header_timeout_s)
 
@@ -231,11 +231,14 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
-        self._body_bytes += len(body)
-        if self._body_bytes > self._server.handler.limits().max_body_bytes:
+        if self._rejected:
+            return
+        max_bytes = self._server.handler.limits().max_body_bytes
+        if len(self._body) + len(body) > max_bytes:
+            self._body = bytearray()
             self._reject(413)
             return
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Start handling the request, or queue it behind the current one."""
@@ -246,11 +249,11 @@
             self._parser.get_method(),
             self._target,
             self._headers,
-            b"".join(self._body),
+            bytes(self._body),
             self._parser.should_keep_alive(),
             self._server.loop.time(),
         )
-        self._body = []
+        self._body = bytearray()
         if self._current is not None:
             self._pipelined.append(request)
             if (
@@ -286,9 +289,14 @@
         if status >= 200 and status not in (204, 304):
             lines.append(b"content-length: %d\r\n" % len(body))
         lines.append(b"connection: close\r\n\r\n" if close_connection else b"\r\n")
-        if request.method != b"HEAD":
-            lines.append(body)
-        self._write(b"".join(lines))
+        head = b"".join(lines)
+        if request.method == b"HEAD":
+            self._write(head)
+        elif len(body) <= MAX_JOINED_BYTES:
+            self._write(head + body)
+        else:
+            self._write(head)
+            self._write(body)
         self._finish_response(close_connection)
 
     def close_if_idle(self) -> None:
--- a/gypsumlock/mesh/pacer.py
+++ b/gypsumlock/mesh/pacer.py
@@ -15,6 +15,7 @@
 import asyncio
 import heapq
 import itertools
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from gypsumlock.mesh.link_meter import LinkMeter
@@ -27,13 +28,16 @@
 MAX_BACKLOG_S = 0.02
 
 
-def split_into_chunks(body: bytes) -> list[bytes]:
-    """Split a body into chunks; an empty body gives one empty chunk."""
+def split_into_chunks(body: bytes) -> Iterator[bytes]:
+    """Yield the chunks of a body; an empty body gives one empty chunk.
+
+    They are cut one at a time, as all of them together would be a second copy.
+    """
     if len(body) <= CHUNK_BYTES:
-        return [body]
-    return [
-        body[start : start + CHUNK_BYTES] for start in range(0, len(body), CHUNK_BYTES)
-    ]
+        yield body
+        return
+    for start in range(0, len(body), CHUNK_BYTES):
+        yield body[start : start + CHUNK_BYTES]
 
 
 @dataclass(order=True, slots=True)
--- a/gypsumlock/mesh/peer_server.py
+++ b/gypsumlock/mesh/peer_server.py
@@ -98,20 +98,23 @@
     async def _send_body(self, answer: Answer, rank: int, target_at_s: float) -> None:
         """Send all chunks of a body but the last, at the rate of the network link."""
         pacer = self._server.pacer
-        *chunks, last = split_into_chunks(answer.body)
+        chunks = split_into_chunks(answer.body)
+        chunk = next(chunks)
         remaining_bytes = len(answer.body)
+        is_split = len(chunk) < remaining_bytes
         pacer.add_pending(remaining_bytes)
         try:
-            for chunk in chunks:
+            for next_chunk in chunks:
                 await pacer.wait_turn(rank, target_at_s)
                 self.send(AnswerChunk(answer.number, chunk))
                 pacer.remove_pending(len(chunk))
                 remaining_bytes -= len(chunk)
-            if chunks:
+                chunk = next_chunk
+            if is_split:
                 await pacer.wait_turn(rank, target_at_s)
         finally:
             pacer.remove_pending(remaining_bytes)
-        answer.body = last
+        answer.body = chunk
 
 
 class PeerServer:
--- a/gypsumlock/mesh/upstream_connection.py
+++ b/gypsumlock/mesh/upstream_connection.py
@@ -40,6 +40,8 @@
 # framing and trailers. Small chunks have more framing than body.
 MAX_FRAMING_BYTES = 65_536
 MAX_FRAMING_PER_BODY_BYTE = 8
+# Headers of one response. Each takes far more memory than its bytes.
+MAX_HEADERS = 1000
 
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
 
@@ -61,6 +63,7 @@
         "_budget",
         "_complete",
         "_ends_at_close",
+        "_head_bytes",
         "_headers",
         "_headers_complete",
         "_id_header",
@@ -98,8 +101,11 @@
         self._method = b""
         self._status = 0
         self._headers: Headers = []
-        self._body: list[bytes] = []
+        # One buffer, as an object for each chunk would take many times its bytes.
+        self._body = bytearray()
         self._body_bytes = 0
+        # Bytes of the head that is being received; bodies don't extend its limit.
+        self._head_bytes = 0
         # Bytes received since the call was sent, and those of bodies of other calls.
         self._received_bytes = 0
         self._skipped_bytes = 0
@@ -124,6 +130,7 @@
         self._received_bytes += len(data)
         if self._timeouts is not None:
             self._start_read_timer(self._timeouts.next_byte_s)
+        was_in_head = not self._headers_complete
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -135,7 +142,10 @@
                 return
         if self._complete:
             self._deliver()
-        elif self._exceeds_framing_limit():
+            return
+        is_in_head = was_in_head and not self._headers_complete
+        self._head_bytes = self._head_bytes + len(data) if is_in_head else 0
+        if self._head_bytes > MAX_FRAMING_BYTES or self._exceeds_framing_limit():
             self._fail("no end of the response head or framing")
 
     def eof_received(self) -> bool:
@@ -189,6 +199,7 @@
         self._complete = False
         self._received_bytes = 0
         self._skipped_bytes = 0
+        self._head_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
         self._response_future = asyncio.get_running_loop().create_future()
         transport.write(data)
@@ -229,6 +240,9 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers are not passed on."""
         if not self._complete and not self._headers_complete:
+            if len(self._headers) >= MAX_HEADERS:
+                self._fail("too many headers")
+                return
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -270,7 +284,7 @@
             self._fail("response body too large")
         elif self._budget.reserve(size_bytes):
             self._body_bytes += size_bytes
-            self._body.append(body)
+            self._body += body
         else:
             self._fail("too many bytes of responses are held")
 
@@ -301,7 +315,7 @@
         self._ends_at_close = False
         self._status = 0
         self._headers = []
-        self._body = []
+        self._body = bytearray()
         self._body_bytes = 0
 
     def _finish_response(self) -> None:
@@ -315,7 +329,8 @@
 
     def _deliver(self) -> None:
         if self._response_future is not None and not self._response_future.done():
-            body = b"".join(self._body)
+            body = bytes(self._body)
+            self._body = bytearray()
             self._response_future.set_result(
                 UpstreamResponse(self._status, self._headers, body)
             )
--- a/misc/report_mutations.py
+++ b/misc/report_mutations.py
@@ -10,6 +10,7 @@
 __all__ = ["REPORT_MUTATIONS"]
 
 _ENDLESS = "tests.test_endless_responses"
+_MEMORY = "tests.test_memory_bounds"
 _LEAVING = "tests.test_mesh_calls.TestLeaving"
 _SILENCE = "tests.test_mesh_calls.TestSilence"
 _DEPARTURE = "tests.test_departure_ack.TestDepartureAck"
@@ -44,6 +45,28 @@
         "elif False:",
         f"{_ENDLESS}.TestEndlessResponses.test_memory_is_bounded",
     ),
+    Mutation(
+        "reports: a body of another call allows no longer head after it",
+        "gypsumlock/mesh/upstream_connection.py",
+        "self._head_bytes + len(data) if is_in_head else 0",
+        "0",
+        f"{_MEMORY}.TestReceivedResponse."
+        "test_body_of_another_call_allows_no_longer_head",
+    ),
+    Mutation(
+        "reports: the number of headers of a response is limited",
+        "gypsumlock/mesh/upstream_connection.py",
+        "if len(self._headers) >= MAX_HEADERS:",
+        "if False:",
+        f"{_MEMORY}.TestReceivedResponse.test_tiny_headers_take_bounded_memory",
+    ),
+    Mutation(
+        "reports: a configuration of another node has a limited size",
+        "gypsumlock/mesh/feed_messages.py",
+        "decompressor.decompress(data, MAX_CONFIG_BYTES)",
+        "decompressor.decompress(data)",
+        f"{_MEMORY}.TestReceivedConfig",
+    ),
     Mutation(
         "reports: trailers don't say that a call was not executed",
         "gypsumlock/mesh/upstream_connection.py",
--- a/tests/test_mesh_pacer.py
+++ b/tests/test_mesh_pacer.py
@@ -26,7 +26,7 @@
     def test_chunks_add_up_to_the_body(self) -> None:
         for size in (0, 1, CHUNK_BYTES, CHUNK_BYTES + 1, 5 * CHUNK_BYTES + 7):
             body = bytes(number % 251 for number in range(size))
-            chunks = split_into_chunks(body)
+            chunks = list(split_into_chunks(body))
             self.assertEqual(b"".join(chunks), body)
             self.assertLessEqual(max(len(chunk) for chunk in chunks), CHUNK_BYTES)
 
