Keep every departure of an upstream in the row of its node

Cause: the row held a departure only as part of the current upstream's record. The second process restored it, knew of no current upstream, and wrote an empty record over the row.

Change: the record lists the node's departures, and each process publishes all that it has restored or heard. The same cause elsewhere: a departure that reaches a node which does not know the upstream was acknowledged and not stored; one of an earlier upstream was replaced by its successor; instance, start and slots of a silent upstream were dropped; a late write of a stopped process left a live upstream unused, unnoticed.

Ruled out: reading the row late or stale (it was read before the write, each time).

--- a/gypsumlock/mesh/fleet_feed.py
+++ b/gypsumlock/mesh/fleet_feed.py
@@ -171,6 +171,9 @@
             self.records[row.record.node] = row
         if newer:
             self._update_directory()
+            if any(row.record.node == self._state.node for row in newer):
+                # Another process of this node may have written its row.
+                self._state.publish_needed.set()
             if self.listener is not None:
                 self.listener.on_records(newer)
 
@@ -188,6 +191,9 @@
             del self.records[node]
         if deleted:
             self._update_directory()
+        if self._state.node in deleted:
+            self._state.published.update(None)
+            self._state.publish_needed.set()
 
     def newest_records(self) -> list[UpstreamRecord]:
         """Return the newest record of each address.
--- a/gypsumlock/mesh/model.py
+++ b/gypsumlock/mesh/model.py
@@ -18,6 +18,7 @@
     "CallOutcome",
     "CallRequest",
     "ClientLimits",
+    "Departure",
     "Failure",
     "HeaderNames",
     "MeshConfig",
@@ -124,6 +125,14 @@
     limits: ClientLimits
 
 
+class Departure(msgspec.Struct, frozen=True, array_like=True):
+    """Announcement of an upstream that it will terminate."""
+
+    instance: str
+    # Start of the incarnation in Unix milliseconds; 0 if it was not reported.
+    born_ms: int = 0
+
+
 class UpstreamRecord(msgspec.Struct, frozen=True, array_like=True):
     """Record that a node publishes about itself and its local upstream."""
 
@@ -144,6 +153,9 @@
     # Bandwidth of the machine's network link in megabits per second; 0 if it is not
     # known.
     link_mbps: float = 0.0
+    # Upstreams of this node that have departed, also earlier ones. A process that is
+    # started later knows of them only from here.
+    departures: tuple[Departure, ...] = ()
 
 
 class OwnerLoad(msgspec.Struct, array_like=True):
--- a/gypsumlock/mesh/published_record.py
+++ b/gypsumlock/mesh/published_record.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from gypsumlock.mesh.model import UpstreamRecord
+from gypsumlock.mesh.model import Departure, UpstreamRecord
 
 __all__ = ["PublishedRecord"]
 
@@ -28,13 +28,13 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def wait_for_departure(self, instance: str, timeout_s: float) -> bool:
-        """Wait until the store holds the departure of an instance.
+    async def wait_for_departure(self, departure: Departure, timeout_s: float) -> bool:
+        """Wait until the store holds a departure.
 
         Parameters
         ----------
-        instance : str
-            Instance that has announced its departure.
+        departure : Departure
+            The departure.
         timeout_s : float
             Longest wait, in seconds.
 
@@ -45,12 +45,15 @@
         """
         try:
             async with asyncio.timeout(timeout_s):
-                while not self._has_departed(instance):
+                while not self._holds(departure):
                     await self._changed.wait()
         except TimeoutError:
             return False
         return True
 
-    def _has_departed(self, instance: str) -> bool:
-        record = self.record
-        return record is not None and record.instance == instance and record.departed
+    def _holds(self, departure: Departure) -> bool:
+        return self.record is not None and any(
+            stored.instance == departure.instance
+            and stored.born_ms >= departure.born_ms
+            for stored in self.record.departures
+        )
--- a/gypsumlock/mesh/record_publisher.py
+++ b/gypsumlock/mesh/record_publisher.py
@@ -4,13 +4,14 @@
 
 import anyio
 import msgspec
+from msgspec.structs import replace
 from result import Err
 
 from gypsumlock.controller import Backoff, Controller
 from gypsumlock.logs import Component, get_logger
 from gypsumlock.mesh.feed_store import FeedStore
 from gypsumlock.mesh.fleet_feed import FleetFeed
-from gypsumlock.mesh.model import UpstreamRecord
+from gypsumlock.mesh.model import Departure, UpstreamRecord
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.mesh.watchers import RECORD_TABLE, decode_record
 
@@ -39,6 +40,8 @@
         self._state = state
         self._feed = feed
         self._row_version = 0
+        # What an earlier process of this node last published.
+        self._previous: UpstreamRecord | None = None
 
     async def run(self) -> None:
         """Publish each change until cancelled."""
@@ -47,6 +50,7 @@
         while True:
             await self._state.publish_needed.wait()
             self._state.publish_needed.clear()
+            self._adopt_newer_row()
             desired = self.desired_record()
             while self._must_publish(desired):
                 if not await self._write(desired):
@@ -61,7 +65,7 @@
         A node without an upstream needs no row, unless a row says otherwise.
         """
         published = self._state.published.record
-        if published is not None or desired.instance:
+        if published is not None or desired.instance or desired.departures:
             return desired != published
         own_address = self._state.addresses.peers
         records = self._feed.newest_records()
@@ -69,20 +73,19 @@
 
     def desired_record(self) -> UpstreamRecord:
         """Return the record that the row should hold now."""
-        incarnation = self._state.registry.current
         state = self._state
-        if incarnation is None:
-            return UpstreamRecord(
-                node=state.node,
-                peer_address=state.addresses.peers,
-                zone=state.zone,
-                link_mbps=state.link_mbps,
-            )
-        return UpstreamRecord(
+        record = UpstreamRecord(
             node=state.node,
             peer_address=state.addresses.peers,
             zone=state.zone,
             link_mbps=state.link_mbps,
+            departures=state.registry.departures(),
+        )
+        incarnation = state.registry.current
+        if incarnation is None:
+            return self._with_previous_upstream(record)
+        return replace(
+            record,
             service=incarnation.service,
             instance=incarnation.instance,
             born_ms=incarnation.born_ms,
@@ -91,18 +94,53 @@
             departed=incarnation.leaving,
         )
 
+    def _with_previous_upstream(self, record: UpstreamRecord) -> UpstreamRecord:
+        """Return a record with what an earlier process knew of the upstream.
+
+        It is all that the next process will know if this one hears of no upstream.
+        """
+        previous = self._previous
+        if previous is None:
+            return record
+        return replace(
+            record,
+            service=previous.service,
+            instance=previous.instance,
+            born_ms=previous.born_ms,
+            slots=previous.slots,
+            departed=previous.departed,
+        )
+
     async def _restore_published_record(self) -> None:
         """Restore what an earlier process of this node published."""
         while not self._state.directory_loaded:
             await anyio.sleep(RESTORE_POLL_INTERVAL_S)
         row = self._feed.records.get(self._state.node)
         if row is not None:
-            self._row_version = row.row_version
-            self._state.published.update(row.record)
-            if row.record.departed:
-                record = row.record
-                self._state.registry.restore_departure(record.instance, record.born_ms)
-        self._state.previous_record.set_result(row.record if row else None)
+            self._previous = row.record
+            self._adopt_row(row.row_version, row.record)
+        self._state.previous_record.set_result(self._previous)
+
+    def _adopt_newer_row(self) -> None:
+        """Adopt a row that was written after this process last read or wrote it.
+
+        A write of an earlier process can take effect late.
+        """
+        row = self._feed.records.get(self._state.node)
+        if row is not None and row.row_version > self._row_version:
+            self._adopt_row(row.row_version, row.record)
+
+    def _adopt_row(self, version: int, record: UpstreamRecord | None) -> None:
+        """Continue from a row of the store, and learn the departures that it holds."""
+        self._row_version = version
+        self._state.published.update(record)
+        if record is None:
+            return
+        departures = record.departures
+        if record.departed:
+            departures = (Departure(record.instance, record.born_ms), *departures)
+        for departure in departures:
+            self._state.registry.restore_departure(departure)
 
     async def _write(self, desired: UpstreamRecord) -> bool:
         """Write the row; return False if the call to the store failed."""
@@ -121,6 +159,5 @@
             return True
         # An earlier write whose response was lost took effect, or another process
         # has written the row.
-        self._row_version = current.version
-        self._state.published.update(decode_record(current))
+        self._adopt_row(current.version, decode_record(current))
         return True
--- a/gypsumlock/mesh/upstream_registry.py
+++ b/gypsumlock/mesh/upstream_registry.py
@@ -9,8 +9,13 @@
 
 from dataclasses import dataclass, replace
 
+from gypsumlock.mesh.model import Departure
+
 __all__ = ["Departure", "Heartbeat", "UpstreamIncarnation", "UpstreamRegistry"]
 
+# Departures that are kept; the oldest one is dropped first.
+MAX_DEPARTURES = 8
+
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
@@ -29,15 +34,6 @@
     born_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class Departure:
-    """Announcement of an upstream that it will terminate."""
-
-    instance: str
-    # Start of the incarnation in Unix milliseconds; 0 if it was not reported.
-    born_ms: int
-
-
 @dataclass(frozen=True, slots=True)
 class UpstreamIncarnation:
     """State of one incarnation of the upstream, as the node knows it."""
@@ -64,13 +60,15 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self.current: UpstreamIncarnation | None = None
-        # Latest known start of a departed incarnation, by instance.
+        # Latest known start of a departed incarnation by instance, in the order of the
+        # departures.
         self._departed: dict[str, int] = {}
 
     def observe(self, heartbeat: Heartbeat) -> bool:
-        """Process a heartbeat; return whether the incarnation or its state changed."""
+        """Process a heartbeat; return whether anything that is published changed."""
+        known_born_ms = self._departed.get(heartbeat.instance)
         if self._must_ignore(heartbeat):
-            return False
+            return self._departed.get(heartbeat.instance) != known_born_ms
         current = self.current
         same_instance = current is not None and current.instance == heartbeat.instance
         # Leaving is final for an incarnation, whatever a late report says.
@@ -91,10 +89,12 @@
         self.current = updated
         if current is None:
             return True
+        if current.leaving and not same_instance:
+            self._add_departed(current.instance, current.born_ms)
         return replace(current, sequence=heartbeat.sequence) != updated
 
     def record_departure(self, departure: Departure) -> bool:
-        """Record a departure; return whether it marked the current one as leaving."""
+        """Record a departure; return whether it was not known yet."""
         current = self.current
         is_current = current is not None and current.instance == departure.instance
         born_ms = departure.born_ms
@@ -103,23 +103,39 @@
                 # Announced by an earlier incarnation of the same instance.
                 return False
             born_ms = max(born_ms, current.born_ms)
-        self._add_departed(departure.instance, born_ms)
+        is_new = self._add_departed(departure.instance, born_ms)
         if not is_current or current is None:
-            return False
+            return is_new
         self.current = replace(current, leaving=True)
-        return not current.leaving
+        return is_new or not current.leaving
+
+    def departures(self) -> tuple[Departure, ...]:
+        """Return the departures that a later process of this node has to know."""
+        departed = dict(self._departed)
+        current = self.current
+        if current is not None and current.leaving:
+            known_born_ms = departed.get(current.instance, 0)
+            departed[current.instance] = max(current.born_ms, known_born_ms)
+        return tuple(Departure(*item) for item in departed.items())
+
+    def departure_of(self, instance: str) -> Departure | None:
+        """Return the departure of the last known incarnation of an instance, if any."""
+        current = self.current
+        if current is not None and current.instance == instance and not current.leaving:
+            return None
+        return next((x for x in self.departures() if x.instance == instance), None)
 
-    def restore_departure(self, instance: str, born_ms: int) -> None:
+    def restore_departure(self, departure: Departure) -> None:
         """Restore a departure that an earlier process of this node recorded.
 
         A late report may have arrived before it.
         """
-        self._add_departed(instance, born_ms)
+        self._add_departed(departure.instance, departure.born_ms)
         current = self.current
         if (
             current is not None
-            and current.instance == instance
-            and current.born_ms <= born_ms
+            and current.instance == departure.instance
+            and current.born_ms <= departure.born_ms
         ):
             self.current = replace(current, leaving=True)
 
@@ -133,8 +149,13 @@
         self.current = incarnation
         return True
 
-    def _add_departed(self, instance: str, born_ms: int) -> None:
-        self._departed[instance] = max(born_ms, self._departed.get(instance, 0))
+    def _add_departed(self, instance: str, born_ms: int) -> bool:
+        """Add a departure; return whether it was not known yet."""
+        known_born_ms = self._departed.pop(instance, None)
+        self._departed[instance] = max(born_ms, known_born_ms or 0)
+        if len(self._departed) > MAX_DEPARTURES:
+            del self._departed[next(iter(self._departed))]
+        return known_born_ms is None or born_ms > known_born_ms
 
     def _must_ignore(self, heartbeat: Heartbeat) -> bool:
         if heartbeat.address != self._address:
--- a/gypsumlock/platform/endpoints.py
+++ b/gypsumlock/platform/endpoints.py
@@ -130,11 +130,11 @@
 
     async def _await_departure(self, instance: str) -> int:
         """Return 503 if an instance is leaving and the store does not hold it yet."""
-        current = self._state.registry.current
-        if current is None or current.instance != instance or not current.leaving:
+        departure = self._state.registry.departure_of(instance)
+        if departure is None:
             return STATUS_OK
         published = self._state.published
-        if await published.wait_for_departure(instance, DEPARTURE_ACK_TIMEOUT_S):
+        if await published.wait_for_departure(departure, DEPARTURE_ACK_TIMEOUT_S):
             return STATUS_OK
         log.warning("departure not acknowledged yet", instance=instance)
         return STATUS_UNAVAILABLE
--- a/misc/mesh_mutations.py
+++ b/misc/mesh_mutations.py
@@ -30,7 +30,7 @@
     Mutation(
         "mesh: the departure of an upstream survives a restart of its node",
         "gypsumlock/mesh/record_publisher.py",
-        "self._state.registry.restore_departure(record.instance, record.born_ms)",
+        "self._state.registry.restore_departure(departure)",
         "pass",
         f"{_MESH_CALLS}.TestLeaving."
         "test_departed_upstream_gets_no_calls_after_a_node_restart",
--- a/misc/report_mutations.py
+++ b/misc/report_mutations.py
@@ -99,10 +99,40 @@
     Mutation(
         "reports: a departure is acknowledged once the store holds it",
         "gypsumlock/platform/endpoints.py",
-        "if await published.wait_for_departure(instance, DEPARTURE_ACK_TIMEOUT_S):",
+        "if await published.wait_for_departure(departure, DEPARTURE_ACK_TIMEOUT_S):",
         "if True:",
         f"{_DEPARTURE}.test_departure_is_not_acknowledged_while_the_store_is_down",
     ),
+    Mutation(
+        "reports: a process publishes the departures that it has restored",
+        "gypsumlock/mesh/record_publisher.py",
+        "departures=state.registry.departures(),",
+        "",
+        f"{_DEPARTURE}.test_departure_outlives_several_restarts",
+    ),
+    Mutation(
+        "reports: a departure of an unknown upstream is stored",
+        "gypsumlock/mesh/record_publisher.py",
+        "if published is not None or desired.instance or desired.departures:",
+        "if published is not None or desired.instance:",
+        f"{_DEPARTURE}.test_departure_before_the_first_row_is_stored",
+    ),
+    Mutation(
+        "reports: a late write of a stopped process does not take effect for good",
+        "gypsumlock/mesh/record_publisher.py",
+        "if row is not None and row.row_version > self._row_version:",
+        "if False:",
+        "tests.test_departure_ack.TestRowOfAnEarlierProcess."
+        "test_late_write_does_not_take_the_upstream_out_of_use",
+    ),
+    Mutation(
+        "reports: a process keeps what an earlier one knew of a silent upstream",
+        "gypsumlock/mesh/record_publisher.py",
+        "return self._with_previous_upstream(record)",
+        "return record",
+        "tests.test_departure_ack.TestRowOfAnEarlierProcess."
+        "test_silent_upstream_stays_known",
+    ),
     Mutation(
         "reports: a late heartbeat brings no departed upstream back after a restart",
         "gypsumlock/mesh/upstream_registry.py",
--- a/tests/test_departure_ack.py
+++ b/tests/test_departure_ack.py
@@ -7,11 +7,16 @@
 
 import httpcore
 import msgspec
+from msgspec.structs import replace
 
 from gypsumlock.mesh.http_server import CallServer
+from gypsumlock.mesh.model import Departure, UpstreamRecord
+from gypsumlock.mesh.watchers import RECORD_TABLE
 from gypsumlock.platform.endpoints import HeartbeatHandler
 from tests.standins.mesh_fleet import MeshFleet, free_address, make_config
 
+# Time in which a restarted node has probed its upstream and published its record.
+SETTLE_S = 1.5
 DRAINING = {
     "info": {"service": "finder", "zone": "a", "slots": 4},
     "status": {"state": "draining", "sequence": 90},
@@ -52,8 +57,18 @@
             "Heartbeat", {"address": self.host.upstream.address, **DRAINING}
         )
 
-    async def check_restarted_node_uses_no_left_upstream(self) -> None:
-        """Check that an acknowledged departure holds after a restart."""
+    async def restart(self) -> None:
+        """Restart the node, and give it time to publish its record."""
+        await self.fleet.restart(self.host)
+        await self.listen()
+        await asyncio.sleep(SETTLE_S)
+
+    async def check_restarted_node_uses_no_left_upstream(
+        self, restarts: int = 1
+    ) -> None:
+        """Check that an acknowledged departure holds after restarts."""
+        for _ in range(restarts - 1):
+            await self.restart()
         await self.fleet.restart(self.host)
         self.host.send_heartbeat()
         await asyncio.sleep(1.0)
@@ -70,6 +85,40 @@
         self.assertEqual(await self.send("Deregister", {}), 200)
         await self.check_restarted_node_uses_no_left_upstream()
 
+    # A second restart brought an upstream back into use, with a late heartbeat: the
+    # process in between had written its row anew without the departure.
+    async def test_departure_outlives_several_restarts(self) -> None:
+        self.assertEqual(await self.send("Deregister", {"born": 1000}), 200)
+        await self.check_restarted_node_uses_no_left_upstream(restarts=3)
+
+    async def test_draining_outlives_several_restarts(self) -> None:
+        self.assertEqual(await self.send_draining(), 200)
+        await self.check_restarted_node_uses_no_left_upstream(restarts=3)
+
+    # The departure was acknowledged, but not stored.
+    async def test_departure_of_unknown_upstream_outlives_a_restart(self) -> None:
+        self.host.upstream.stop()
+        await self.restart()
+        self.assertIsNone(self.host.node.state.registry.current)
+        self.assertEqual(await self.send("Deregister", {"born": 1000}), 200)
+        await self.check_restarted_node_uses_no_left_upstream()
+
+    async def test_departure_before_the_first_row_is_stored(self) -> None:
+        self.host = await self.fleet.add("n-3", slots=0)
+        self.instance = self.host.upstream.instance
+        await self.listen()
+        self.assertEqual(await self.send("Deregister", {"born": 1000}), 200)
+        await self.check_restarted_node_uses_no_left_upstream()
+
+    # The row held the departure of the current upstream alone.
+    async def test_departure_outlives_the_next_upstream(self) -> None:
+        self.assertEqual(await self.send_draining(), 200)
+        left, self.host.upstream.instance = self.host.upstream.instance, "i-next"
+        self.host.send_heartbeat(born_ms=2000)
+        await asyncio.sleep(SETTLE_S)
+        self.host.upstream.instance = left
+        await self.check_restarted_node_uses_no_left_upstream()
+
     async def test_departure_is_not_acknowledged_while_the_store_is_down(self) -> None:
         self.fleet.store.down = True
         before = len(self.host.upstream.calls)
@@ -83,3 +132,55 @@
         async with asyncio.timeout(3.0):
             while await self.send_draining() != 200:
                 pass
+
+
+class TestRowOfAnEarlierProcess(unittest.IsolatedAsyncioTestCase):
+    """The row of a node holds what another process of the node has written."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = await self.enterAsyncContext(MeshFleet())
+        self.fleet.configure(make_config())
+        self.host = await self.fleet.add("n-1")
+        await self.fleet.add("n-2")
+        await self.fleet.wait_until_ready()
+
+    def stored_record(self) -> UpstreamRecord:
+        """Return the record in the row of the node."""
+        value = self.fleet.store.tables[RECORD_TABLE]["n-1"].value
+        assert value is not None
+        return msgspec.json.decode(value, type=UpstreamRecord)
+
+    def write(self, record: UpstreamRecord) -> None:
+        """Write the row of the node, as a process that was stopping did."""
+        self.fleet.store.put(RECORD_TABLE, "n-1", msgspec.json.encode(record))
+
+    async def wait_until_served(self) -> None:
+        """Wait until every node uses the upstream of the node."""
+        async with asyncio.timeout(3.0):
+            while not self.stored_record().serving:
+                await asyncio.sleep(0.05)
+        await self.fleet.wait_until_ready()
+
+    # A write of the stopped process that took effect late left the upstream unused.
+    async def test_late_write_does_not_take_the_upstream_out_of_use(self) -> None:
+        self.write(replace(self.stored_record(), serving=False))
+        await self.wait_until_served()
+
+    async def test_late_departure_is_kept(self) -> None:
+        departure = Departure("i-0", 500)
+        self.write(replace(self.stored_record(), departures=(departure,)))
+        await asyncio.sleep(1.0)
+        self.host.send_heartbeat(slots=8)
+        async with asyncio.timeout(3.0):
+            while self.stored_record().slots != 8:
+                await asyncio.sleep(0.05)
+        self.assertEqual(self.stored_record().departures, (departure,))
+
+    async def test_silent_upstream_stays_known(self) -> None:
+        self.host.upstream.stop()
+        for _ in range(2):
+            await self.fleet.restart(self.host)
+            await asyncio.sleep(SETTLE_S)
+        record = self.stored_record()
+        self.assertEqual((record.instance, record.slots), ("i-n-1", 4))
+        self.assertFalse(record.serving)
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -251,7 +251,7 @@
 
     def test_departure_is_kept_across_a_restart(self) -> None:
         registry = UpstreamRegistry(ADDRESS)
-        registry.restore_departure("i-1", 1000)
+        registry.restore_departure(Departure("i-1", 1000))
         registry.observe(make_heartbeat(sequence=50))
         self.assertIsNone(registry.current)
         registry.observe(make_heartbeat(born_ms=1500))
@@ -260,7 +260,7 @@
     def test_departure_is_restored_after_a_late_heartbeat(self) -> None:
         registry = UpstreamRegistry(ADDRESS)
         registry.observe(make_heartbeat(sequence=50))
-        registry.restore_departure("i-1", 1000)
+        registry.restore_departure(Departure("i-1", 1000))
         self.assertTrue(registry.current is not None and registry.current.leaving)
 
     def test_departure_before_any_heartbeat_is_final(self) -> None:
