Check each field of each received message where it is decoded

One readable record with an address that can't be parsed ended every node that read it, again and again.

Cause: decoding checked the types of fields and not their values. Using a bad one raised an error that nothing expected: a port that is no number, an integer beyond 64 bits, a nesting beyond the recursion limit (no DecodeError), a line break in an instance.

Change: the fields of records, heartbeats, deregistrations, versions, messages between nodes, responses of the store and settings have types with ranges (mesh/field_types.py), which msgspec checks at decoding. A bad message or row is ignored with a log line; rows are decoded one by one, so that the others hold; a bad frame no longer closes its connection, and the call that it was about ends at once. A deregistration that can't be read is rejected (it was applied).

Ruled out: catching errors in the controllers instead: that hides faults, and leaves the next use of the field to fail.

--- a/gypsumlock/mesh/feed_follower.py
+++ b/gypsumlock/mesh/feed_follower.py
@@ -23,6 +23,7 @@
     apply_delta,
     unpack_config,
     unpack_delta,
+    unpack_records,
 )
 from gypsumlock.mesh.feed_relay import FeedRelay
 from gypsumlock.mesh.feed_sources import rank_sources, select_zone_readers
@@ -115,7 +116,7 @@
     def handle_message(self, message: Message) -> None:
         """Apply an update or a heartbeat."""
         if isinstance(message, RecordUpdate):
-            self._feed.merge_records(message.rows)
+            self._feed.merge_records(unpack_records(message))
         elif isinstance(message, PackedDelta):
             self._apply_delta(message)
         elif isinstance(message, ConfigSnapshot):
--- a/gypsumlock/mesh/feed_messages.py
+++ b/gypsumlock/mesh/feed_messages.py
@@ -7,9 +7,12 @@
 from __future__ import annotations
 
 import zlib
+from collections.abc import Iterable
 
 import msgspec
 
+from gypsumlock.logs import Component, get_logger
+from gypsumlock.mesh.field_types import DECODE_ERRORS, Number
 from gypsumlock.mesh.model import (
     ClientLimits,
     MeshConfig,
@@ -30,10 +33,14 @@
     "diff_configs",
     "pack_config",
     "pack_delta",
+    "pack_records",
     "unpack_config",
     "unpack_delta",
+    "unpack_records",
 ]
 
+log = get_logger(Component.CONFIG)
+
 # Low levels of zlib compress a configuration nearly as well as high ones.
 COMPRESSION_LEVEL = 3
 # Largest configuration version, decompressed.
@@ -44,29 +51,30 @@
     """Asks for everything newer than the sender's state, now and in the future."""
 
     # Configuration version in force at the sender; 0 for none.
-    config_version: int
+    config_version: Number
     # Version of the store up to which the sender has all records.
-    records_synced_version: int
+    records_synced_version: Number
 
 
 class RecordRow(msgspec.Struct, frozen=True, array_like=True):
     """A node's record and the version of its row in the store."""
 
-    row_version: int
+    row_version: Number
     record: UpstreamRecord
 
 
 class RecordUpdate(msgspec.Struct, array_like=True, tag=11):
     """Records that are new to the sender."""
 
-    rows: list[RecordRow]
+    # Encoded one by one: a row that can't be decoded leaves the others valid.
+    rows: list[msgspec.Raw]
 
 
 class ConfigDelta(msgspec.Struct, array_like=True):
     """Difference between two configuration versions."""
 
-    base_version: int
-    version: int
+    base_version: Number
+    version: Number
     # Names of routes that `version` no longer has.
     removed_routes: list[str]
     # Routes that are new or have changed.
@@ -74,7 +82,7 @@
     services: list[ServiceSpec]
     limits: ClientLimits
     # Checksum of the complete new version.
-    checksum: int
+    checksum: Number
 
 
 class PackedDelta(msgspec.Struct, array_like=True, tag=12):
@@ -83,7 +91,7 @@
     A reader sends a version to all of its followers over one network link.
     """
 
-    version: int
+    version: Number
     data: bytes
 
 
@@ -103,10 +111,10 @@
     # True while the sender's own reads of the store succeed.
     store_connected: bool
     # Configuration version in force at the sender; 0 for none.
-    config_version: int
+    config_version: Number
     # Versions of the store up to which the sender has followed each table.
-    config_synced_version: int
-    records_synced_version: int
+    config_synced_version: Number
+    records_synced_version: Number
 
 
 def compute_checksum(config: MeshConfig) -> int:
@@ -148,6 +156,22 @@
     return config if compute_checksum(config) == delta.checksum else None
 
 
+def pack_records(rows: Iterable[RecordRow]) -> RecordUpdate:
+    """Return a message that holds rows."""
+    return RecordUpdate([msgspec.Raw(msgspec.msgpack.encode(row)) for row in rows])
+
+
+def unpack_records(update: RecordUpdate) -> list[RecordRow]:
+    """Return the rows that a message holds, without those that can't be decoded."""
+    rows = []
+    for encoded in update.rows:
+        try:
+            rows.append(msgspec.msgpack.decode(encoded, type=RecordRow))
+        except DECODE_ERRORS as error:
+            log.warning("record of another node ignored", reason=str(error))
+    return rows
+
+
 def pack_delta(delta: ConfigDelta) -> PackedDelta:
     """Return a message that holds a delta."""
     data = zlib.compress(msgspec.msgpack.encode(delta), COMPRESSION_LEVEL)
@@ -159,7 +183,8 @@
     try:
         data = _decompress(packed.data)
         return msgspec.msgpack.decode(data, type=ConfigDelta)
-    except (zlib.error, msgspec.DecodeError, msgspec.ValidationError):
+    except (zlib.error, *DECODE_ERRORS) as error:
+        log.warning("configuration of another node ignored", reason=str(error))
         return None
 
 
@@ -175,7 +200,8 @@
     try:
         data = _decompress(snapshot.data)
         return msgspec.msgpack.decode(data, type=MeshConfig)
-    except (zlib.error, msgspec.DecodeError, msgspec.ValidationError):
+    except (zlib.error, *DECODE_ERRORS) as error:
+        log.warning("configuration of another node ignored", reason=str(error))
         return None
 
 
--- a/gypsumlock/mesh/feed_relay.py
+++ b/gypsumlock/mesh/feed_relay.py
@@ -24,6 +24,7 @@
     diff_configs,
     pack_config,
     pack_delta,
+    pack_records,
 )
 from gypsumlock.mesh.fleet_feed import FeedListener, FleetFeed
 from gypsumlock.mesh.model import MeshConfig
@@ -86,7 +87,7 @@
             if row.row_version > request.records_synced_version
         ]
         if rows:
-            follower.send_update(RecordUpdate(rows))
+            follower.send_update(pack_records(rows))
         self._followers[follower] = request.config_version
         config = self._feed.config
         if config is not None:
@@ -99,8 +100,9 @@
 
     def on_records(self, rows: list[RecordRow]) -> None:
         """Forward changed records."""
+        update = pack_records(rows)
         for follower in list(self._followers):
-            follower.send_update(RecordUpdate(rows))
+            follower.send_update(update)
 
     def on_config(self, before: MeshConfig | None, after: MeshConfig) -> None:
         """Forward a version, as a delta if the follower's version is still kept."""
--- /dev/null
+++ b/gypsumlock/mesh/field_types.py
@@ -0,0 +1,105 @@
+"""Types of the fields of received messages, with the range of their values.
+
+A message may come from another program, or from a node of another version. Each of its
+fields is checked once, where the message is decoded; nothing that uses a field later
+has to expect a value outside of its range.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated, Final
+
+import msgspec
+from msgspec import Meta
+
+from gypsumlock.http_headers import Headers
+
+__all__ = [
+    "DECODE_ERRORS",
+    "Address",
+    "Bandwidth",
+    "Count",
+    "Duration",
+    "Identifier",
+    "Number",
+    "Rank",
+    "Share",
+    "Slots",
+    "StatusCode",
+    "Text",
+    "TimeLeft",
+    "TimestampMs",
+    "is_identifier",
+    "is_valid_head",
+]
+
+# What msgspec raises for a message that can't be decoded. A deeply nested one exceeds
+# the recursion limit.
+DECODE_ERRORS: Final = (msgspec.DecodeError, RecursionError)
+
+_OCTET = "(?:25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
+_PORT = (
+    "(?:6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}"
+    "|[1-9][0-9]{0,3})"
+)
+# Printable ASCII without spaces, so that it fits into a header and a path.
+_IDENTIFIER = r"\A[!-~]{0,200}\Z"
+
+# An IPv4 address and a port, as `IP:port`.
+Address = Annotated[str, Meta(pattern=rf"\A{_OCTET}(?:\.{_OCTET}){{3}}:{_PORT}\Z")]
+# Name of an instance; empty for none.
+Identifier = Annotated[str, Meta(pattern=_IDENTIFIER)]
+# Any other name, such as that of a zone.
+Text = Annotated[str, Meta(max_length=200)]
+
+Count = Annotated[int, Meta(ge=0, le=2**31 - 1)]
+Slots = Annotated[int, Meta(ge=1, le=100_000)]
+Rank = Annotated[int, Meta(ge=0, le=1_000)]
+StatusCode = Annotated[int, Meta(ge=100, le=999)]
+# Version of a row or of the configuration, or number of a message.
+Number = Annotated[int, Meta(ge=0, le=2**63 - 1)]
+# Unix milliseconds.
+TimestampMs = Annotated[int, Meta(ge=0, le=2**53)]
+
+# In seconds.
+Duration = Annotated[float, Meta(ge=0, le=1e9)]
+# Time until a moment that may have passed, in seconds.
+TimeLeft = Annotated[float, Meta(ge=-1e9, le=1e9)]
+# In megabits per second.
+Bandwidth = Annotated[float, Meta(ge=0, le=1e9)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+
+_IDENTIFIER_REGEX = re.compile(_IDENTIFIER)
+_TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
+_METHOD_REGEX = re.compile(rb"\A" + _TOKEN + rb"\Z")
+_HEADER_NAMES_REGEX = re.compile(rb"\A(?:" + _TOKEN + rb"\n)*\Z")
+_TARGET_REGEX = re.compile(rb"\A[!-~\x80-\xff]+\Z")
+_BAD_IN_VALUE_REGEX = re.compile(rb"[\x00\r\n]")
+
+
+def is_identifier(text: str) -> bool:
+    """Return whether a text can name an instance."""
+    return bool(text) and _IDENTIFIER_REGEX.match(text) is not None
+
+
+def is_valid_head(
+    headers: Headers, method: bytes = b"GET", target: bytes = b"/"
+) -> bool:
+    """Return whether a head, once it is written, is read as the same head.
+
+    Parameters
+    ----------
+    headers : Headers
+        The headers.
+    method, target : bytes
+        Method and target of a request.
+    """
+    names = b"".join([name + b"\n" for name, _ in headers])
+    values = b"".join([value for _, value in headers])
+    return (
+        _HEADER_NAMES_REGEX.match(names) is not None
+        and _BAD_IN_VALUE_REGEX.search(values) is None
+        and _METHOD_REGEX.match(method) is not None
+        and _TARGET_REGEX.match(target) is not None
+    )
--- a/gypsumlock/mesh/frames.py
+++ b/gypsumlock/mesh/frames.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from gypsumlock.logs import Component, get_logger
 from gypsumlock.mesh.feed_messages import (
     ConfigSnapshot,
     FeedHeartbeat,
@@ -20,8 +21,10 @@
     PackedDelta,
     RecordUpdate,
 )
+from gypsumlock.mesh.field_types import DECODE_ERRORS, Number, is_valid_head
 from gypsumlock.mesh.link_meter import LinkMeter
 from gypsumlock.mesh.model import Answer, CallRequest, Failure, OwnerLoad, Refusal
+from gypsumlock.result_codes import ResultCode
 
 __all__ = [
     "AnswerChunk",
@@ -34,6 +37,8 @@
     "Withdraw",
 ]
 
+log = get_logger(Component.MEMBERS)
+
 MAX_FRAME_BYTES = 134_217_728
 # Size up to which a message is copied behind its length, so that both leave in one
 # write.
@@ -44,19 +49,19 @@
 class Cancel(msgspec.Struct, array_like=True, tag=5):
     """Cancels a call."""
 
-    number: int
+    number: Number
 
 
 class Ping(msgspec.Struct, array_like=True, tag=6):
     """Requests a pong with the same number, to check the connection."""
 
-    number: int
+    number: Number
 
 
 class Pong(msgspec.Struct, array_like=True, tag=7):
     """Response to a ping: the connection works."""
 
-    number: int
+    number: Number
 
 
 class LoadReport(msgspec.Struct, array_like=True, tag=8):
@@ -68,14 +73,14 @@
 class AnswerChunk(msgspec.Struct, array_like=True, tag=15):
     """Chunk of a response body; the `Answer` itself carries the last chunk."""
 
-    number: int
+    number: Number
     body: bytes
 
 
 class Withdraw(msgspec.Struct, array_like=True, tag=9):
     """Requests the refusal of a call that has not reached the upstream yet."""
 
-    number: int
+    number: Number
 
 
 Message = (
@@ -96,10 +101,42 @@
     | FeedHeartbeat
 )
 
+_REQUEST_TAG = 1
+_OUTCOME_TAGS = (2, 3, 4)
+
+
+class _Envelope(msgspec.Struct, array_like=True):
+    """First fields of every message about a call."""
+
+    tag: int
+    number: Number
+
+
+_ENVELOPE_DECODER = msgspec.msgpack.Decoder(_Envelope)
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 
 
+def _decode(data: memoryview) -> Message | None:
+    """Return the message in a frame, or None if one of its fields is invalid."""
+    try:
+        message = _DECODER.decode(data)
+    except DECODE_ERRORS as error:
+        log.warning("message of another node ignored", reason=str(error))
+        return None
+    if isinstance(message, RecordUpdate):
+        # Undecoded parts refer to the buffer, which can't shrink meanwhile.
+        message.rows = [row.copy() for row in message.rows]
+    if isinstance(message, CallRequest):
+        is_valid = is_valid_head(message.headers, message.method, message.target)
+    else:
+        is_valid = not isinstance(message, Answer) or is_valid_head(message.headers)
+    if not is_valid:
+        log.warning("message of another node ignored", reason="invalid head")
+        return None
+    return message
+
+
 class FramedProtocol(asyncio.Protocol, ABC):
     """One side of a connection between nodes; splits the byte stream into messages.
 
@@ -132,21 +169,36 @@
         while len(buffer) - start >= _LENGTH.size:
             (size,) = _LENGTH.unpack_from(buffer, start)
             if size > MAX_FRAME_BYTES:
+                log.warning("message of another node too large", size_bytes=size)
                 self.abort()
                 return
             end = start + _LENGTH.size + size
             if len(buffer) < end:
                 break
-            try:
-                message = _DECODER.decode(memoryview(buffer)[start + 4 : end])
-            except (msgspec.DecodeError, msgspec.ValidationError):
-                self.abort()
-                return
+            frame = memoryview(buffer)[start + _LENGTH.size : end]
             start = end
-            self.handle_message(message)
+            message = _decode(frame)
+            if message is None:
+                self._handle_invalid(frame)
+            else:
+                self.handle_message(message)
+            frame.release()
         if start:
             del buffer[:start]
 
+    def _handle_invalid(self, frame: memoryview) -> None:
+        """End the call of an invalid message, so that nobody waits for it in vain."""
+        try:
+            envelope = _ENVELOPE_DECODER.decode(frame)
+        except DECODE_ERRORS:
+            return
+        if envelope.tag == _REQUEST_TAG:
+            code = ResultCode.CALL_UPSTREAM_UNREACHABLE
+            self.send(Refusal(envelope.number, code, 0.0, False, OwnerLoad()))
+        elif envelope.tag in _OUTCOME_TAGS:
+            code = ResultCode.CALL_UNKNOWN_OUTCOME
+            self.handle_message(Failure(envelope.number, code, OwnerLoad()))
+
     def send(self, message: Message) -> bool:
         """Send a message; return False if the connection is closed."""
         transport = self.transport
--- a/gypsumlock/mesh/model.py
+++ b/gypsumlock/mesh/model.py
@@ -7,10 +7,26 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 from gypsumlock.http_headers import Headers
+from gypsumlock.mesh.field_types import (
+    Address,
+    Bandwidth,
+    Count,
+    Duration,
+    Identifier,
+    Number,
+    Rank,
+    Share,
+    StatusCode,
+    Text,
+    TimeLeft,
+    TimestampMs,
+)
 from gypsumlock.result_codes import ResultCode
 
 __all__ = [
@@ -21,6 +37,7 @@
     "Departure",
     "Failure",
     "HeaderNames",
+    "HealthPath",
     "MeshConfig",
     "NodeAddresses",
     "OwnerLoad",
@@ -29,11 +46,17 @@
     "ServiceShare",
     "ServiceSpec",
     "UpstreamRecord",
+    "Weight",
     "peer_lost_failure",
     "peer_unreachable_refusal",
 ]
 
 
+Weight = Annotated[float, Meta(ge=0, le=1e9)]
+# A path that can be written into a request line.
+HealthPath = Annotated[str, Meta(pattern=r"\A/[!-~]*\Z")]
+
+
 @dataclass(frozen=True, slots=True)
 class HeaderNames:
     """Lower-case names of the headers that the data path reads or sets."""
@@ -73,7 +96,7 @@
     """Share of a route's calls that goes to one service."""
 
     service: str
-    weight: float
+    weight: Weight
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,13 +109,13 @@
     # True if a call may be executed more than once.
     repeatable: bool
     # Time after which a call is answered in any case, in seconds.
-    timeout_s: float
+    timeout_s: Duration
     # Time within which a response is fully useful, in seconds.
-    target_latency_s: float
+    target_latency_s: Duration
     # Rank of the route; 0 is the most urgent.
-    rank: int
+    rank: Rank
     # Maximum number of upstreams that one client attempt may be sent to.
-    max_attempts: int
+    max_attempts: Count
     shares: tuple[ServiceShare, ...]
 
 
@@ -101,25 +124,25 @@
     """Configuration of one service."""
 
     name: str
-    health_path: str
-    max_connections: int
+    health_path: HealthPath
+    max_connections: Count
 
 
 @dataclass(frozen=True, slots=True)
 class ClientLimits:
     """Limits on what a client may send, and on how long it may take."""
 
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
+    max_header_bytes: Count
+    max_body_bytes: Count
+    header_timeout_s: Duration
+    idle_timeout_s: Duration
 
 
 @dataclass(frozen=True, slots=True)
 class MeshConfig:
     """One complete version of the configuration."""
 
-    version: int
+    version: Number
     routes: tuple[RouteSpec, ...]
     services: tuple[ServiceSpec, ...]
     limits: ClientLimits
@@ -128,31 +151,32 @@
 class Departure(msgspec.Struct, frozen=True, array_like=True):
     """Announcement of an upstream that it will terminate."""
 
-    instance: str
+    instance: Identifier
     # Start of the incarnation in Unix milliseconds; 0 if it was not reported.
-    born_ms: int = 0
+    born_ms: TimestampMs = 0
 
 
 class UpstreamRecord(msgspec.Struct, frozen=True, array_like=True):
     """Record that a node publishes about itself and its local upstream."""
 
-    node: str
+    node: Text
     # Where other nodes send calls, as `IP:port`.
-    peer_address: str
-    zone: str
-    service: str = ""
+    peer_address: Address
+    zone: Text
+    service: Text = ""
     # Identifier of the upstream's incarnation; empty while there is none.
-    instance: str = ""
+    instance: Identifier = ""
     # Start time of that incarnation in Unix milliseconds; 0 if it is not known.
-    born_ms: int = 0
-    slots: int = 0
+    born_ms: TimestampMs = 0
+    # 0 while they are not known.
+    slots: Count = 0
     # False once the upstream or the node is leaving, or the upstream is down.
     serving: bool = False
     # True once that incarnation announced that it is leaving.
     departed: bool = False
     # Bandwidth of the machine's network link in megabits per second; 0 if it is not
     # known.
-    link_mbps: float = 0.0
+    link_mbps: Bandwidth = 0.0
     # Upstreams of this node that have departed, also earlier ones. A process that is
     # started later knows of them only from here.
     departures: tuple[Departure, ...] = ()
@@ -161,41 +185,41 @@
 class OwnerLoad(msgspec.Struct, array_like=True):
     """Load of an upstream, as measured by its own node."""
 
-    slots: int = 0
-    in_flight: int = 0
+    slots: Count = 0
+    in_flight: Count = 0
     # Expected wait for a slot by rank, in seconds; the last entry covers all lower
     # ranks.
-    wait_s: tuple[float, ...] = ()
+    wait_s: tuple[Duration, ...] = ()
     # Mean service time of the route of the answered call, in seconds; 0 if none was
     # measured yet.
-    service_s: float = 0.0
+    service_s: Duration = 0.0
     # Share of recent calls that the upstream failed or rejected.
-    failure_share: float = 0.0
+    failure_share: Share = 0.0
     accepting: bool = True
     # Time for which a large response waits for the link of the owner's machine, in
     # seconds.
-    egress_delay_s: float = 0.0
+    egress_delay_s: Duration = 0.0
 
 
 class CallRequest(msgspec.Struct, array_like=True, tag=1):
     """One attempt of a call, sent to the owner: the node beside the upstream."""
 
-    number: int
+    number: Number
     request_id: bytes
     service: str
     route: str
-    rank: int
+    rank: Rank
     repeatable: bool
     # Latency target of the route, in seconds.
-    target_s: float
+    target_s: Duration
     # True if a response after the latency target is still wanted.
     late_ok: bool
     # Expected size of a response that has to cross the link of the owner's machine, in
     # bytes; 0 on the caller's own machine.
-    response_bytes: int
+    response_bytes: Count
     # Time left until the latency target and until the deadline, in seconds.
-    target_left_s: float
-    deadline_left_s: float
+    target_left_s: TimeLeft
+    deadline_left_s: TimeLeft
     method: bytes
     target: bytes
     headers: Headers
@@ -207,8 +231,8 @@
 class Answer(msgspec.Struct, array_like=True, tag=2):
     """Complete response of an upstream."""
 
-    number: int
-    status: int
+    number: Number
+    status: StatusCode
     headers: Headers
     body: bytes
     load: OwnerLoad
@@ -222,10 +246,10 @@
 class Refusal(msgspec.Struct, array_like=True, tag=3):
     """Result of an attempt that has not executed the call and never will."""
 
-    number: int
-    code: int
+    number: Number
+    code: ResultCode
     # Time after which a slot is expected to be free, in seconds; 0 if it is not known.
-    retry_after_s: float
+    retry_after_s: Duration
     # True if the upstream itself rejected the call.
     rejected_by_upstream: bool
     load: OwnerLoad
@@ -236,8 +260,8 @@
 class Failure(msgspec.Struct, array_like=True, tag=4):
     """Result of an attempt that may have executed the call; no response is usable."""
 
-    number: int
-    code: int
+    number: Number
+    code: ResultCode
     load: OwnerLoad
     # True if the connection to the owner was lost.
     peer_lost: bool = False
--- a/gypsumlock/mesh/upstream_connection.py
+++ b/gypsumlock/mesh/upstream_connection.py
@@ -43,7 +43,7 @@
 # Headers of one response. Each takes far more memory than its bytes.
 MAX_HEADERS = 1000
 
-_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
+_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d{1,6})(?!\d)")
 
 
 class UpstreamConnection(asyncio.Protocol):
--- a/gypsumlock/mesh/upstream_probe.py
+++ b/gypsumlock/mesh/upstream_probe.py
@@ -11,6 +11,7 @@
 
 from gypsumlock.http_headers import find_header
 from gypsumlock.logs import Component, get_logger
+from gypsumlock.mesh.field_types import is_identifier
 from gypsumlock.mesh.model import UpstreamRecord
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.mesh.upstream_pool import UpstreamPool
@@ -87,6 +88,9 @@
     if instance_id is None:
         return False
     instance = instance_id.decode("latin-1")
+    if not is_identifier(instance):
+        log.warning("health check ignored", reason=f"instance {instance[:40]!r}")
+        return False
     # A heartbeat tells more than a health check; any heartbeat replaces these values.
     born_ms = previous_record.born_ms if instance == previous_record.instance else 0
     incarnation = UpstreamIncarnation(
--- a/gypsumlock/mesh/watchers.py
+++ b/gypsumlock/mesh/watchers.py
@@ -13,6 +13,7 @@
 from gypsumlock.logs import Component, get_logger
 from gypsumlock.mesh.feed_messages import RecordRow
 from gypsumlock.mesh.feed_store import FeedRow, FeedStore, TableChanges
+from gypsumlock.mesh.field_types import DECODE_ERRORS
 from gypsumlock.mesh.fleet_feed import FleetFeed, TableCursor
 from gypsumlock.mesh.model import MeshConfig, UpstreamRecord
 from gypsumlock.mesh.state import MeshState
@@ -332,7 +333,10 @@
         return None
     try:
         record = msgspec.json.decode(row.value, type=UpstreamRecord)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except DECODE_ERRORS as error:
         log.warning("record ignored", key=row.key, reason=str(error))
         return None
-    return record if record.node == row.key else None
+    if record.node != row.key:
+        log.warning("record ignored", key=row.key, reason="record of another node")
+        return None
+    return record
--- a/gypsumlock/platform/config.py
+++ b/gypsumlock/platform/config.py
@@ -10,12 +10,15 @@
 import msgspec
 from result import Err, Ok, Result
 
+from gypsumlock.mesh.field_types import DECODE_ERRORS, Count, Duration, Rank
 from gypsumlock.mesh.model import (
     ClientLimits,
+    HealthPath,
     MeshConfig,
     RouteSpec,
     ServiceShare,
     ServiceSpec,
+    Weight,
 )
 from gypsumlock.result_codes import Fault, ResultCode
 
@@ -29,6 +32,7 @@
 DEFAULT_MAX_ATTEMPTS = 1
 # A version is encoded as this letter followed by a number, such as `r7`.
 VERSION_PREFIX = "r"
+MAX_VERSION_DIGITS = 18
 
 
 class _Metadata(msgspec.Struct, frozen=True):
@@ -48,7 +52,7 @@
 
 class _WeightedCluster(msgspec.Struct, frozen=True):
     service: str
-    weight: float
+    weight: Weight
 
 
 class _Route(msgspec.Struct, frozen=True):
@@ -57,26 +61,26 @@
     # `idempotent`, `non_idempotent` or `download`; determines whether a call may be
     # executed more than once.
     route_kind: str
-    timeout_s: float
-    target_latency_s: float | None = None
+    timeout_s: Duration
+    target_latency_s: Duration | None = None
     # Rank of the route; 0 is the most urgent.
-    priority: int = DEFAULT_RANK
-    max_attempts: int = DEFAULT_MAX_ATTEMPTS
+    priority: Rank = DEFAULT_RANK
+    max_attempts: Count = DEFAULT_MAX_ATTEMPTS
     # Destination of calls: exactly one of `service` and `weighted_clusters` is set.
     service: str | None = None
     weighted_clusters: list[_WeightedCluster] | None = None
 
 
 class _Service(msgspec.Struct, frozen=True):
-    health_path: str = "/healthz"
-    max_conns: int = 100
+    health_path: HealthPath = "/healthz"
+    max_conns: Count = 100
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
+    max_header_bytes: Count
+    max_body_bytes: Count
+    header_timeout_s: Duration
+    idle_timeout_s: Duration
 
 
 _DOCUMENT_DECODER = msgspec.json.Decoder(_ConfigDocument)
@@ -94,7 +98,7 @@
     """
     try:
         return Ok(_decode_document(value))
-    except (msgspec.DecodeError, msgspec.ValidationError, ValueError) as error:
+    except (*DECODE_ERRORS, ValueError) as error:
         detail = f"configuration can't be decoded: {error}"
         return Err(Fault(ResultCode.PLATFORM_BAD_MESSAGE, detail))
 
@@ -155,4 +159,7 @@
 def _parse_version(text: str) -> int:
     if not text.startswith(VERSION_PREFIX):
         raise ValueError(f"invalid version {text!r}, expected r followed by a number")
-    return int(text.removeprefix(VERSION_PREFIX))
+    digits = text.removeprefix(VERSION_PREFIX)
+    if not digits.isascii() or not digits.isdigit() or len(digits) > MAX_VERSION_DIGITS:
+        raise ValueError(f"invalid version {text[:40]!r}")
+    return int(digits)
--- a/gypsumlock/platform/endpoints.py
+++ b/gypsumlock/platform/endpoints.py
@@ -12,6 +12,15 @@
 from result import Err, Ok, Result
 
 from gypsumlock.logs import Component, get_logger
+from gypsumlock.mesh.field_types import (
+    DECODE_ERRORS,
+    Number,
+    Slots,
+    Text,
+    TimeLeft,
+    TimestampMs,
+    is_identifier,
+)
 from gypsumlock.mesh.http_server import HttpHandler, HttpRequest, ServerConnection
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.mesh.upstream_registry import Departure, Heartbeat
@@ -24,7 +33,12 @@
 )
 from gypsumlock.result_codes import Fault, ResultCode
 
-__all__ = ["HeartbeatHandler", "ReadinessHandler", "decode_heartbeat"]
+__all__ = [
+    "HeartbeatHandler",
+    "ReadinessHandler",
+    "decode_deregistration",
+    "decode_heartbeat",
+]
 
 log = get_logger(Component.UPSTREAM)
 
@@ -39,30 +53,30 @@
 
 
 class _InstanceInfo(msgspec.Struct, frozen=True):
-    service: str
-    slots: int
-    zone: str = ""
+    service: Text
+    slots: Slots
+    zone: Text = ""
 
 
 class _InstanceStatus(msgspec.Struct, frozen=True):
     state: str
     # Increases with each heartbeat of one run of the upstream process.
-    sequence: int
+    sequence: Number
     # Remaining warm-up time of the upstream, in seconds.
-    cold_left_s: float = 0.0
+    cold_left_s: TimeLeft = 0.0
 
 
 class _HeartbeatBody(msgspec.Struct, frozen=True):
-    address: str
+    address: Text
     info: _InstanceInfo
     status: _InstanceStatus
     # Start time of the upstream process in milliseconds since the Unix epoch; 0 if not
     # reported.
-    born: int = 0
+    born: TimestampMs = 0
 
 
 class _DeregisterBody(msgspec.Struct, frozen=True):
-    born: int = 0
+    born: TimestampMs = 0
 
 
 class ReadinessHandler(HttpHandler):
@@ -121,8 +135,9 @@
                 status = await self._await_departure(instance)
         elif target.startswith(DEREGISTER_PATH_PREFIX):
             instance = target.removeprefix(DEREGISTER_PATH_PREFIX).decode("latin-1")
-            self._process_deregistration(instance, request.body)
-            status = await self._await_departure(instance)
+            status = self._process_deregistration(instance, request.body)
+            if status == STATUS_OK:
+                status = await self._await_departure(instance)
         else:
             status = 404
         headers = [(b"content-type", b"application/json")]
@@ -158,16 +173,19 @@
             self._on_change()
         return STATUS_OK
 
-    def _process_deregistration(self, instance: str, body: bytes) -> None:
-        born_ms = 0
-        if body:
-            try:
-                born_ms = msgspec.json.decode(body, type=_DeregisterBody).born
-            except (msgspec.DecodeError, msgspec.ValidationError) as error:
-                log.warning("invalid deregistration body ignored", reason=str(error))
-        if self._state.registry.record_departure(Departure(instance, born_ms)):
-            log.info("upstream deregistered", instance=instance, born_ms=born_ms)
+    def _process_deregistration(self, instance: str, body: bytes) -> int:
+        decoded = decode_deregistration(instance, body)
+        if isinstance(decoded, Err):
+            reason = decoded.err_value.text()
+            log.warning("invalid deregistration rejected", reason=reason)
+            return STATUS_BAD_REQUEST
+        departure = decoded.ok_value
+        if self._state.registry.record_departure(departure):
+            log.info(
+                "upstream deregistered", instance=instance, born_ms=departure.born_ms
+            )
             self._on_change()
+        return STATUS_OK
 
 
 def decode_heartbeat(instance: str, body: bytes) -> Result[Heartbeat, Fault]:
@@ -185,9 +203,11 @@
     Result[Heartbeat, Fault]
         The heartbeat, or `PLATFORM_BAD_MESSAGE`.
     """
+    if not is_identifier(instance):
+        return _bad_instance(instance)
     try:
         heartbeat = msgspec.json.decode(body, type=_HeartbeatBody)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except DECODE_ERRORS as error:
         return Err(Fault(ResultCode.PLATFORM_BAD_MESSAGE, str(error)))
     if heartbeat.status.state not in (STATE_READY, STATE_DRAINING):
         detail = f"unknown state {heartbeat.status.state!r}"
@@ -205,3 +225,32 @@
             born_ms=heartbeat.born,
         )
     )
+
+
+def decode_deregistration(instance: str, body: bytes) -> Result[Departure, Fault]:
+    """Decode the body of a deregistration; an empty one tells no start.
+
+    Parameters
+    ----------
+    instance : str
+        Identifier of the upstream instance, from the request target.
+    body : bytes
+        JSON body of the request.
+
+    Returns
+    -------
+    Result[Departure, Fault]
+        The departure, or `PLATFORM_BAD_MESSAGE`.
+    """
+    if not is_identifier(instance):
+        return _bad_instance(instance)
+    try:
+        born_ms = msgspec.json.decode(body, type=_DeregisterBody).born if body else 0
+    except DECODE_ERRORS as error:
+        return Err(Fault(ResultCode.PLATFORM_BAD_MESSAGE, str(error)))
+    return Ok(Departure(instance, born_ms))
+
+
+def _bad_instance(instance: str) -> Err[Fault]:
+    detail = f"invalid instance {instance[:40]!r}"
+    return Err(Fault(ResultCode.PLATFORM_BAD_MESSAGE, detail))
--- a/gypsumlock/platform/settings.py
+++ b/gypsumlock/platform/settings.py
@@ -6,11 +6,14 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 import yaml
+from msgspec import Meta
 from result import Err, Ok, Result
 
+from gypsumlock.mesh.field_types import Address, Bandwidth, Duration
 from gypsumlock.mesh.model import NodeAddresses
 from gypsumlock.mesh.state import MeshBounds
 from gypsumlock.result_codes import Fault, ResultCode
@@ -31,7 +34,7 @@
 
 class _Limits(msgspec.Struct, frozen=True):
     # Bandwidth of this machine's network link in megabits per second; 0 if unknown.
-    link_mbps: float = 0.0
+    link_mbps: Bandwidth = 0.0
 
 
 class _SelfNode(msgspec.Struct, frozen=True):
@@ -39,7 +42,7 @@
     zone: str
     # Address of the local upstream, as `IP:port`, and its service. The local upstream
     # runs on the same machine as the node.
-    app_addr: str
+    app_addr: Address
     service: str
     limits: _Limits = _Limits()
     # True only when the whole system starts for the first time.
@@ -48,13 +51,13 @@
 
 class _Listen(msgspec.Struct, frozen=True):
     # Calls between nodes; the platform doesn't prescribe the use of this address.
-    inbound: str
+    inbound: Address
     # Calls from clients and from the local upstream.
-    outbound: str
+    outbound: Address
     # Readiness probes and metrics.
-    ready: str
+    ready: Address
     # Heartbeats and deregistrations from the local upstream.
-    control: str
+    control: Address
 
 
 class _Network(msgspec.Struct, frozen=True):
@@ -62,7 +65,7 @@
 
 
 class _Store(msgspec.Struct, frozen=True):
-    address: str
+    address: Address
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -72,12 +75,12 @@
 
 class _Bounds(msgspec.Struct, frozen=True):
     # Time from a stop request to the end of the process.
-    grace_s: float
+    grace_s: Duration
     # Retries allowed per first attempt.
-    retry_ratio: float
+    retry_ratio: Annotated[float, Meta(ge=0, le=1e9)]
     # Retries that all nodes together may send per window, in addition to the ratio.
-    retry_slack: float
-    retry_window_s: float
+    retry_slack: Annotated[float, Meta(ge=0, le=1e9)]
+    retry_window_s: Duration
 
 
 class _Terms(msgspec.Struct, frozen=True):
@@ -132,7 +135,7 @@
     """
     try:
         document = yaml.load(text, Loader=_YAML_LOADER)
-    except yaml.YAMLError as error:
+    except (yaml.YAMLError, RecursionError) as error:
         detail = " ".join(str(error).split())
         return Err(Fault(ResultCode.SETTINGS_NOT_YAML, detail))
     try:
--- a/gypsumlock/platform/store_client.py
+++ b/gypsumlock/platform/store_client.py
@@ -9,7 +9,9 @@
 import msgspec
 from result import Err, Ok, Result
 
+from gypsumlock.logs import Component, get_logger
 from gypsumlock.mesh.feed_store import FeedRow, FeedStore, TableChanges, WriteOutcome
+from gypsumlock.mesh.field_types import DECODE_ERRORS, Number
 from gypsumlock.mesh.upstream_pool import UpstreamPool
 from gypsumlock.mesh.upstream_response import (
     ConnectFailed,
@@ -21,6 +23,8 @@
 
 __all__ = ["PlatformStore"]
 
+log = get_logger(Component.PLATFORM)
+
 _BodyT = TypeVar("_BodyT")
 _QueryParameters = dict[str, str | int]
 
@@ -38,7 +42,7 @@
 class _Row(msgspec.Struct, frozen=True):
     key: str
     # Sequence number of the transaction that wrote the row.
-    ver: int = 0
+    ver: Number = 0
     # Encoded as Base64.
     value: str | None = None
     # True for a row that was deleted.
@@ -47,8 +51,9 @@
 
 class _RowsResponse(msgspec.Struct, frozen=True):
     # In a response with rows, the newest version of the whole store.
-    ver: int
-    rows: list[_Row] = []
+    ver: Number
+    # Decoded one by one: a row that can't be decoded leaves the others valid.
+    rows: list[msgspec.Raw] = []
     # True if more rows follow.
     truncated: bool = False
 
@@ -108,10 +113,11 @@
             # Later pages are newer. The version of the first page is returned, so that
             # the caller reads again what changed in the meantime.
             version = page.ver if version is None else version
-            rows.extend(_to_feed_row(row) for row in page.rows)
-            if not page.truncated or not page.rows:
+            page_rows = _decode_rows(page.rows)
+            rows.extend(page_rows)
+            if not page.truncated or not page_rows:
                 return Ok(TableChanges(tuple(rows), version))
-            start_key = page.rows[-1].key + "\0"
+            start_key = page_rows[-1].key + "\0"
 
     async def wait_for_changes(
         self, table: str, after: int, wait_s: float
@@ -125,8 +131,8 @@
         response = await self._get_rows("/-/rows-feed", query, wait_s)
         if isinstance(response, Err):
             return response
-        rows = tuple(_to_feed_row(row) for row in response.ok_value.rows)
-        return Ok(TableChanges(rows, response.ok_value.ver))
+        rows = _decode_rows(response.ok_value.rows)
+        return Ok(TableChanges(tuple(rows), response.ok_value.ver))
 
     async def write_row(
         self, table: str, key: str, value: bytes, expected: int
@@ -148,10 +154,10 @@
         decoded = _decode_body(response.ok_value.body, _RowsResponse)
         if isinstance(decoded, Err):
             return decoded
-        rows = decoded.ok_value.rows
         if status == STATUS_OK:
             return Ok(WriteOutcome(decoded.ok_value.ver))
-        current = _to_feed_row(rows[0]) if rows else FeedRow(key, None, 0)
+        rows = _decode_rows(decoded.ok_value.rows)
+        current = rows[0] if rows else FeedRow(key, None, 0)
         return Ok(WriteOutcome(decoded.ok_value.ver, current))
 
     async def close(self) -> None:
@@ -197,6 +203,17 @@
         return Ok(response)
 
 
+def _decode_rows(encoded_rows: list[msgspec.Raw]) -> list[FeedRow]:
+    """Return the rows that can be decoded."""
+    rows = []
+    for encoded in encoded_rows:
+        try:
+            rows.append(_to_feed_row(msgspec.json.decode(encoded, type=_Row)))
+        except DECODE_ERRORS as error:
+            log.warning("row of the store ignored", reason=str(error))
+    return rows
+
+
 def _to_feed_row(row: _Row) -> FeedRow:
     if row.removed or row.value is None:
         return FeedRow(row.key, None, row.ver)
@@ -211,7 +228,7 @@
 def _decode_body(body: bytes, body_type: type[_BodyT]) -> Result[_BodyT, Fault]:
     try:
         return Ok(msgspec.json.decode(body, type=body_type))
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except DECODE_ERRORS as error:
         return Err(Fault(ResultCode.PLATFORM_BAD_ANSWER, str(error)))
 
 
--- a/misc/report_mutations.py
+++ b/misc/report_mutations.py
@@ -10,6 +10,7 @@
 __all__ = ["REPORT_MUTATIONS"]
 
 _ENDLESS = "tests.test_endless_responses"
+_FIELDS = "tests.test_field_checks"
 _MEMORY = "tests.test_memory_bounds"
 _LEAVING = "tests.test_mesh_calls.TestLeaving"
 _SILENCE = "tests.test_mesh_calls.TestSilence"
@@ -41,10 +42,39 @@
     Mutation(
         "reports: a head, framing or trailer without end is cut off",
         "gypsumlock/mesh/upstream_connection.py",
-        "elif self._exceeds_framing_limit():",
-        "elif False:",
+        "if self._head_bytes > MAX_FRAMING_BYTES or self._exceeds_framing_limit():",
+        "if False:",
         f"{_ENDLESS}.TestEndlessResponses.test_memory_is_bounded",
     ),
+    Mutation(
+        "reports: an address that can't be parsed is no field of a record",
+        "gypsumlock/mesh/model.py",
+        "peer_address: Address",
+        "peer_address: Text",
+        f"{_FIELDS}.TestOddRows.test_odd_rows_end_no_node",
+    ),
+    Mutation(
+        "reports: a deeply nested message is ignored",
+        "gypsumlock/mesh/field_types.py",
+        "(msgspec.DecodeError, RecursionError)",
+        "(msgspec.DecodeError,)",
+        f"{_FIELDS}.TestOddRows.test_odd_rows_end_no_node",
+    ),
+    Mutation(
+        "reports: a start beyond 64 bits is no field of a record",
+        "gypsumlock/mesh/field_types.py",
+        "TimestampMs = Annotated[int, Meta(ge=0, le=2**53)]",
+        "TimestampMs = int",
+        f"{_FIELDS}.TestOddRows.test_odd_rows_end_no_node",
+    ),
+    Mutation(
+        "reports: an invalid message of another node leaves the others",
+        "gypsumlock/mesh/frames.py",
+        "                self._handle_invalid(frame)\n",
+        "                self.abort()\n                return\n",
+        f"{_FIELDS}.TestMessagesBetweenNodes."
+        "test_message_with_an_odd_field_leaves_the_others",
+    ),
     Mutation(
         "reports: a body of another call allows no longer head after it",
         "gypsumlock/mesh/upstream_connection.py",
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -259,6 +259,27 @@
         assert isinstance(result, Ok)
         self.assertIsNone(result.ok_value.rows[0].value)
 
+    async def test_odd_rows_are_ignored(self) -> None:
+        odd_rows: list[dict[str, Any]] = [
+            {"key": 5, "ver": 1},
+            {"key": "a", "ver": 2**70},
+            {"key": "a", "ver": 1, "value": 7},
+            {"key": "a", "ver": 1, "removed": "no"},
+        ]
+        rows = [*odd_rows, store_row("b", b"1", 3), *odd_rows]
+        self.fake_store.responses = [(200, {"rows": rows, "ver": 9})]
+        result = await self.store.read_table("t")
+        assert isinstance(result, Ok)
+        self.assertEqual([row.key for row in result.ok_value.rows], ["b"])
+
+    async def test_odd_responses_are_errors(self) -> None:
+        bodies: list[Any] = [{"ver": 2**70}, {"ver": "9"}, {"ver": 9, "rows": {}}, []]
+        for body in bodies:
+            self.fake_store.responses = [(200, body)]
+            result = await self.store.read_table("t")
+            assert isinstance(result, Err)
+            self.assertEqual(result.err_value.code, ResultCode.PLATFORM_BAD_ANSWER)
+
     async def test_status_410_returns_history_lost(self) -> None:
         self.fake_store.responses = [(410, {})]
         result = await self.store.wait_for_changes("t", 4, 0.1)
