Show that a response cut in its head is no response

A report of other operators: a server stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole.

With the condition of eof_received taken out (new mutation) they fail.

--- a/misc/report_mutations.py
+++ b/misc/report_mutations.py
@@ -75,6 +75,13 @@
         f"{_FIELDS}.TestMessagesBetweenNodes."
         "test_message_with_an_odd_field_leaves_the_others",
     ),
+    Mutation(
+        "reports: a response that is cut in its head or body is no response",
+        "gypsumlock/mesh/upstream_connection.py",
+        "if self._ends_at_close and self._id_matches and not self._complete:",
+        "if not self._complete:",
+        "tests.test_cut_responses.TestCutResponses.test_cut_head_is_no_response",
+    ),
     Mutation(
         "reports: a body of another call allows no longer head after it",
         "gypsumlock/mesh/upstream_connection.py",
