Answer all calls before a stopping process exits

In a planned stop a call that was taken in the three seconds after SIGTERM, or before it, and whose upstream was still at work at the end, ended with a closed connection (LOST); also calls that may not be repeated.

Cause: the process exited at the deadline of its last calls (0.6 s before the end of the grace period), 0.06 s before they were answered; calls from before the stop kept later deadlines; the phases of a stop had fixed lengths, so that with a short grace period calls were taken until its end.

Change: at the stop request the deadlines of all calls are moved before the end; the process exits 0.3 s after that; the phases are at most shares of the grace period. With the users' 6 s they are unchanged.

Ruled out: refusing all calls after SIGTERM (clients notice it two seconds later, and most calls are answered in time); "not run" for a call whose upstream is at work is untrue.

--- a/gypsumlock/mesh/call_classifier.py
+++ b/gypsumlock/mesh/call_classifier.py
@@ -17,10 +17,8 @@
 from gypsumlock.mesh.weighted_round_robin import WeightedRoundRobin
 from gypsumlock.result_codes import ResultCode
 
-__all__ = ["CLIENT_DRAIN_S", "Call", "CallClassifier"]
+__all__ = ["Call", "CallClassifier"]
 
-# Time after a stop request for which a node still accepts calls of clients, in seconds.
-CLIENT_DRAIN_S = 3.0
 # A deadline with more digits is no limit: no route waits for that many milliseconds.
 MAX_DEADLINE_DIGITS = 12
 
@@ -83,7 +81,8 @@
         stopping_since_s = self._state.stopping_since_s
         if (
             stopping_since_s is not None
-            and request.received_s - stopping_since_s > CLIENT_DRAIN_S
+            and request.received_s - stopping_since_s
+            > self._state.bounds.client_drain_s
         ):
             return ResultCode.CALL_LEAVING
         header_names = self._state.header_names
--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -86,6 +86,7 @@
         "_retry_budgets",
         "_selector",
         "_state",
+        "_timeouts",
     )
 
     def __init__(
@@ -106,6 +107,8 @@
         self._retry_budgets = RetryBudgets(state.bounds.retry_window_s)
         # Mean total size of request and response by route, in bytes.
         self._mean_call_bytes: dict[str, float] = {}
+        # Of the calls in progress.
+        self._timeouts: set[asyncio.Timeout] = set()
 
     def limits(self) -> ClientLimits:
         """Return the client limits of the configuration version in force."""
@@ -118,8 +121,10 @@
         if not isinstance(call, Call):
             self._responder.refuse_request(connection, request, call)
             return
+        timeout = asyncio.timeout_at(call.deadline_at_s + DEADLINE_GRACE_S)
+        self._timeouts.add(timeout)
         try:
-            async with asyncio.timeout_at(call.deadline_at_s + DEADLINE_GRACE_S):
+            async with timeout:
                 answer = await self._run_with_retries(call)
         except TimeoutError:
             self._responder.fail_call(call, connection, ResultCode.CALL_DEADLINE)
@@ -127,6 +132,8 @@
         except asyncio.CancelledError:
             self._responder.record_call(call, "client disconnected", 0)
             raise
+        finally:
+            self._timeouts.discard(timeout)
         if answer is not None:
             self._forward(call, connection, answer)
         elif call.outcome_unknown:
@@ -134,6 +141,17 @@
         else:
             self._responder.fail_call(call, connection, call.refusal_code)
 
+    def limit_deadlines(self) -> None:
+        """Move the deadlines of all calls before the end of a stopping process.
+
+        Their clients would otherwise see a closed connection in place of an answer.
+        """
+        latest_s = self._state.ends_at_s + DEADLINE_GRACE_S
+        for timeout in self._timeouts:
+            deadline_at_s = timeout.when()
+            if deadline_at_s is not None and deadline_at_s > latest_s:
+                timeout.reschedule(latest_s)
+
     # --- phases 2 to 4 ---
 
     async def _run_with_retries(self, call: Call) -> Answer | None:
--- a/gypsumlock/mesh/node.py
+++ b/gypsumlock/mesh/node.py
@@ -19,14 +19,13 @@
 
 from gypsumlock.controller import Controller
 from gypsumlock.logs import Component, get_logger
-from gypsumlock.mesh.call_classifier import CLIENT_DRAIN_S
 from gypsumlock.mesh.caller import CallDispatcher
 from gypsumlock.mesh.directory import UpstreamDirectory
 from gypsumlock.mesh.feed_follower import FeedFollower
 from gypsumlock.mesh.feed_relay import FeedRelay
 from gypsumlock.mesh.fleet_feed import FleetFeed
 from gypsumlock.mesh.http_server import CallServer, HttpHandler
-from gypsumlock.mesh.owner import PEER_DRAIN_S, UpstreamOwner
+from gypsumlock.mesh.owner import UpstreamOwner
 from gypsumlock.mesh.peer_server import PeerServer
 from gypsumlock.mesh.placement import UpstreamSelector
 from gypsumlock.mesh.state import MeshState
@@ -37,8 +36,6 @@
 
 log = get_logger(Component.NODE)
 
-# Time after a stop request within which clients notice that the node is not ready.
-READINESS_PROPAGATION_S = 2.4
 # Time before the end of the process at which calls without a slot are refused.
 WITHDRAW_BEFORE_END_S = 0.4
 # Time without a call in flight after which a stopping process exits.
@@ -59,6 +56,7 @@
         "call_server",
         "control_servers",
         "directory",
+        "dispatcher",
         "feed",
         "follower",
         "metrics",
@@ -79,8 +77,10 @@
         rng = random.Random()
         self.follower = FeedFollower(state, self.feed, self.relay, rng)
         selector = UpstreamSelector(state.node, state.zone, rng)
-        dispatcher = CallDispatcher(state, self.directory, selector, self.metrics, rng)
-        self.call_server = CallServer(dispatcher)
+        self.dispatcher = CallDispatcher(
+            state, self.directory, selector, self.metrics, rng
+        )
+        self.call_server = CallServer(self.dispatcher)
         self.peer_server = PeerServer(
             self.owner, self.relay, state.link_meter, state.pacer
         )
@@ -143,14 +143,16 @@
         self.directory.disable_silence_timeouts()
         self.notify_upstream_changed()
         log.info("stop requested", in_flight=self.call_server.count_busy_connections())
-        await asyncio.sleep(PEER_DRAIN_S)
+        bounds = self.state.bounds
+        self.dispatcher.limit_deadlines()
+        await asyncio.sleep(bounds.peer_drain_s)
         # A call that is still queued here won't get a slot in time, but may get one at
         # another owner.
         self.owner.withdraw_all()
-        await asyncio.sleep(READINESS_PROPAGATION_S - PEER_DRAIN_S)
-        end_s = self.state.ends_at_s
+        await asyncio.sleep(bounds.readiness_propagation_s - bounds.peer_drain_s)
+        withdraw_at_s = self.state.ends_at_s - WITHDRAW_BEFORE_END_S
         idle_since_s = loop.time()
-        while loop.time() < end_s:
+        while loop.time() < self.state.exits_at_s:
             self.call_server.close_idle_connections()
             now_s = loop.time()
             if (
@@ -159,13 +161,10 @@
                 or self.peer_server.busy()
             ):
                 idle_since_s = now_s
-            if (
-                now_s > end_s - WITHDRAW_BEFORE_END_S
-                and not self.state.dispatch_stopped
-            ):
+            if now_s > withdraw_at_s and not self.state.dispatch_stopped:
                 self.state.dispatch_stopped = True
                 self.directory.withdraw_queued_calls()
-            can_exit = now_s - began_s > CLIENT_DRAIN_S
+            can_exit = now_s - began_s > bounds.client_drain_s
             if can_exit and now_s - idle_since_s > IDLE_BEFORE_EXIT_S:
                 break
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -25,9 +25,6 @@
 # Interval between checks for queued calls that can no longer be answered in time, in
 # seconds.
 SWEEP_INTERVAL_S = 0.03
-# Time after a stop request for which calls are still accepted, in seconds. Other nodes
-# learn of the stop meanwhile, and this node's clients have other upstreams.
-PEER_DRAIN_S = 1.0
 # Refusal codes that apply to all calls of the same service.
 SERVICE_WIDE_REFUSALS = frozenset(
     {
@@ -244,7 +241,8 @@
 
     def _refusal_code(self, request: CallRequest, now_s: float) -> ResultCode | None:
         since_s = self._state.stopping_since_s
-        if since_s is not None and now_s - since_s > PEER_DRAIN_S:
+        peer_drain_s = self._state.bounds.peer_drain_s
+        if since_s is not None and now_s - since_s > peer_drain_s:
             return ResultCode.CALL_LEAVING
         incarnation = self._state.registry.current
         if incarnation is None:
--- a/gypsumlock/mesh/state.py
+++ b/gypsumlock/mesh/state.py
@@ -16,9 +16,23 @@
 
 __all__ = ["MeshBounds", "MeshState"]
 
-# Margin between the end of a stopping process and the end of its grace period, in
-# seconds.
+# Phases of a stop, in seconds since its request; each with the share of the grace
+# period that it takes at most.
+# Calls for the node's upstream are accepted: other nodes learn of the stop meanwhile,
+# and this node's clients have other upstreams.
+PEER_DRAIN_S = 1.0
+MAX_PEER_DRAIN_SHARE = 1 / 6
+# Clients notice that the node is not ready.
+READINESS_PROPAGATION_S = 2.4
+MAX_READINESS_PROPAGATION_SHARE = 0.4
+# Calls of clients are accepted.
+CLIENT_DRAIN_S = 3.0
+MAX_CLIENT_DRAIN_SHARE = 0.5
+# Time from the last deadline of a call to the end of the grace period, in seconds.
 END_MARGIN_S = 0.6
+MAX_END_MARGIN_SHARE = 0.3
+# Part of it that is left when the process exits: responses are sent in the rest.
+EXIT_MARGIN_SHARE = 0.5
 
 
 class MeshBounds:
@@ -45,6 +59,28 @@
         self.retry_allowance = retry_allowance
         self.retry_window_s = retry_window_s
 
+    @property
+    def peer_drain_s(self) -> float:
+        """Time after a stop request for which other nodes' calls are accepted."""
+        return min(PEER_DRAIN_S, MAX_PEER_DRAIN_SHARE * self.grace_s)
+
+    @property
+    def readiness_propagation_s(self) -> float:
+        """Time after a stop request in which clients notice it."""
+        return min(
+            READINESS_PROPAGATION_S, MAX_READINESS_PROPAGATION_SHARE * self.grace_s
+        )
+
+    @property
+    def client_drain_s(self) -> float:
+        """Time after a stop request for which calls of clients are accepted."""
+        return min(CLIENT_DRAIN_S, MAX_CLIENT_DRAIN_SHARE * self.grace_s)
+
+    @property
+    def end_margin_s(self) -> float:
+        """Time from the last deadline of a call to the end of the grace period."""
+        return min(END_MARGIN_S, MAX_END_MARGIN_SHARE * self.grace_s)
+
 
 class MeshState:
     """Shared state of one mesh node.
@@ -139,13 +175,22 @@
 
     @property
     def ends_at_s(self) -> float:
-        """Return the monotonic time by which a stopping process ends.
+        """Return the monotonic time by which a stopping process answers all calls.
 
         It is infinite before the stop request.
         """
         if self.stopping_since_s is None:
             return float("inf")
-        return self.stopping_since_s + self.bounds.grace_s - END_MARGIN_S
+        bounds = self.bounds
+        return self.stopping_since_s + bounds.grace_s - bounds.end_margin_s
+
+    @property
+    def exits_at_s(self) -> float:
+        """Return the monotonic time by which a stopping process exits.
+
+        The answers of calls whose deadline is `ends_at_s` are sent before.
+        """
+        return self.ends_at_s + EXIT_MARGIN_SHARE * self.bounds.end_margin_s
 
     def ready(self) -> bool:
         """Return whether clients may send calls here."""
--- a/misc/report_mutations.py
+++ b/misc/report_mutations.py
@@ -12,6 +12,7 @@
 _ENDLESS = "tests.test_endless_responses"
 _FIELDS = "tests.test_field_checks"
 _MEMORY = "tests.test_memory_bounds"
+_STOP = "tests.test_planned_stop.TestPlannedStop"
 _LEAVING = "tests.test_mesh_calls.TestLeaving"
 _SILENCE = "tests.test_mesh_calls.TestSilence"
 _DEPARTURE = "tests.test_departure_ack.TestDepartureAck"
@@ -82,6 +83,27 @@
         "if not self._complete:",
         "tests.test_cut_responses.TestCutResponses.test_cut_head_is_no_response",
     ),
+    Mutation(
+        "reports: a stopping node answers the calls from before its stop",
+        "gypsumlock/mesh/node.py",
+        "        self.dispatcher.limit_deadlines()\n",
+        "",
+        f"{_STOP}.test_calls_from_before_the_stop_get_an_answer",
+    ),
+    Mutation(
+        "reports: a stopping node answers the calls that come late",
+        "gypsumlock/mesh/node.py",
+        "while loop.time() < self.state.exits_at_s:",
+        "while loop.time() < self.state.ends_at_s:",
+        f"{_STOP}.test_late_calls_get_an_answer",
+    ),
+    Mutation(
+        "reports: a stopping node accepts calls in half of its grace period",
+        "gypsumlock/mesh/state.py",
+        "MAX_CLIENT_DRAIN_SHARE = 0.5",
+        "MAX_CLIENT_DRAIN_SHARE = 1.0",
+        f"{_STOP}.test_call_in_the_second_half_of_the_grace_is_refused",
+    ),
     Mutation(
         "reports: a body of another call allows no longer head after it",
         "gypsumlock/mesh/upstream_connection.py",
