Take a response head that consists of two for no response

Cause: the status came from the first head, the last Request-Id from the second.

Change: a status line inside a reason phrase or header value, or two values of a header that decides something, means that the head belongs to no call. The same for requests of clients with two values of Host, Request-Id or Deadline-Ms (400).

--- a/gypsumlock/http_headers.py
+++ b/gypsumlock/http_headers.py
@@ -4,7 +4,7 @@
 
 from typing import Final, TypeAlias
 
-__all__ = ["Headers", "end_to_end_headers", "find_header"]
+__all__ = ["Headers", "end_to_end_headers", "find_header", "has_conflict"]
 
 Headers: TypeAlias = list[tuple[bytes, bytes]]
 
@@ -33,6 +33,11 @@
     return None
 
 
+def has_conflict(headers: Headers, name: bytes) -> bool:
+    """Return whether a header occurs more than once, with different values."""
+    return len({value for key, value in headers if key == name}) > 1
+
+
 def end_to_end_headers(headers: Headers) -> Headers:
     """Return the headers without those that apply to a single connection."""
     options = _connection_options(headers)
--- a/gypsumlock/mesh/call_classifier.py
+++ b/gypsumlock/mesh/call_classifier.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass, field
 
-from gypsumlock.http_headers import Headers
+from gypsumlock.http_headers import Headers, has_conflict
 from gypsumlock.mesh.http_server import HttpRequest
 from gypsumlock.mesh.http_text import forwardable_headers
 from gypsumlock.mesh.model import Answer, RouteSpec
@@ -73,6 +73,10 @@
         table = self._state.route_table
         if table is None:
             return ResultCode.CALL_NOT_READY
+        names = self._state.header_names
+        deciding = (b"host", names.request_id, names.deadline_ms)
+        if any(has_conflict(request.headers, name) for name in deciding):
+            return ResultCode.CALL_BAD_REQUEST
         path = request.target.partition(b"?")[0].decode("latin-1")
         host = (request.header(b"host") or b"").decode("latin-1")
         route = table.find_route(host.partition(":")[0], path)
--- a/gypsumlock/mesh/response_kind.py
+++ b/gypsumlock/mesh/response_kind.py
@@ -4,6 +4,7 @@
 
 from enum import Enum
 
+from gypsumlock.http_headers import has_conflict
 from gypsumlock.mesh.model import HeaderNames
 from gypsumlock.mesh.upstream_response import UpstreamResponse
 
@@ -56,5 +57,9 @@
     """
     if response.header(b"content-encoding") is not None:
         return False
+    # A head that contradicts itself is not the head of one response.
+    deciding = (names.not_executed, names.signature)
+    if any(has_conflict(response.headers, name) for name in deciding):
+        return False
     is_success = 200 <= response.status < 300
     return not is_success or response.header(names.signature) is not None
--- a/gypsumlock/mesh/upstream_connection.py
+++ b/gypsumlock/mesh/upstream_connection.py
@@ -17,7 +17,7 @@
 
 import httptools
 
-from gypsumlock.http_headers import Headers
+from gypsumlock.http_headers import Headers, has_conflict
 from gypsumlock.mesh.receive_budget import ReceiveBudget
 from gypsumlock.mesh.upstream_response import (
     ConnectFailed,
@@ -43,6 +43,7 @@
 # Headers of one response. Each takes far more memory than its bytes.
 MAX_HEADERS = 1000
 
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d{1,6})(?!\d)")
 
 
@@ -71,6 +72,7 @@
         "_method",
         "_parser",
         "_read_timer",
+        "_reason",
         "_received_bytes",
         "_request_id",
         "_response_future",
@@ -100,6 +102,7 @@
         self._request_id = b""
         self._method = b""
         self._status = 0
+        self._reason = b""
         self._headers: Headers = []
         # One buffer, as an object for each chunk would take many times its bytes.
         self._body = bytearray()
@@ -237,6 +240,10 @@
             return
         self._reset_response()
 
+    def on_status(self, reason: bytes) -> None:
+        """Collect a part of the reason phrase."""
+        self._reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers are not passed on."""
         if not self._complete and not self._headers_complete:
@@ -253,6 +260,9 @@
         self._status = self._parser.get_status_code()
         if self._status < 200:
             return
+        if self._is_joined_head():
+            self._fail("two response heads in one")
+            return
         header_values = dict(self._headers)
         echoed = header_values.get(self._id_header, b"")
         self._id_matches = not self._request_id or echoed == self._request_id
@@ -293,6 +303,18 @@
         if not self._complete and self._status >= 200 and self._id_matches:
             self._finish_response()
 
+    def _is_joined_head(self) -> bool:
+        """Return whether the head consists of the beginning of one and another one.
+
+        An upstream may break off a copy of an earlier response anywhere in its head.
+        Status and headers of such a head belong to no single call.
+        """
+        texts = (self._reason, *(value for _, value in self._headers))
+        if any(_STATUS_LINE.search(text) for text in texts):
+            return True
+        names = (self._id_header, b"content-length", b"transfer-encoding")
+        return any(has_conflict(self._headers, name) for name in names)
+
     def _exceeds_framing_limit(self) -> bool:
         body_bytes = self._body_bytes + self._skipped_bytes
         limit_bytes = MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * body_bytes
@@ -314,6 +336,7 @@
         self._id_matches = False
         self._ends_at_close = False
         self._status = 0
+        self._reason = b""
         self._headers = []
         self._body = bytearray()
         self._body_bytes = 0
--- a/misc/report_mutations.py
+++ b/misc/report_mutations.py
@@ -13,6 +13,7 @@
 _FIELDS = "tests.test_field_checks"
 _MEMORY = "tests.test_memory_bounds"
 _STOP = "tests.test_planned_stop.TestPlannedStop"
+_JOINED = "tests.test_joined_heads"
 _LEAVING = "tests.test_mesh_calls.TestLeaving"
 _SILENCE = "tests.test_mesh_calls.TestSilence"
 _DEPARTURE = "tests.test_departure_ack.TestDepartureAck"
@@ -104,6 +105,20 @@
         "MAX_CLIENT_DRAIN_SHARE = 1.0",
         f"{_STOP}.test_call_in_the_second_half_of_the_grace_is_refused",
     ),
+    Mutation(
+        "reports: a status line inside a head shows two heads",
+        "gypsumlock/mesh/upstream_connection.py",
+        "if any(_STATUS_LINE.search(text) for text in texts):",
+        "if False:",
+        f"{_JOINED}.TestJoinedResponseHeads",
+    ),
+    Mutation(
+        "reports: a request that contradicts itself is rejected",
+        "gypsumlock/mesh/call_classifier.py",
+        "if any(has_conflict(request.headers, name) for name in deciding):",
+        "if False:",
+        f"{_JOINED}.TestConflictingRequestHeaders",
+    ),
     Mutation(
         "reports: a body of another call allows no longer head after it",
         "gypsumlock/mesh/upstream_connection.py",
