--- a/misc/report_mutations.py
+++ b/misc/report_mutations.py
@@ -119,6 +119,20 @@
         "if False:",
         f"{_JOINED}.TestConflictingRequestHeaders",
     ),
+    Mutation(
+        "reports: a route that is seldom called has no histogram",
+        "gypsumlock/metrics/metrics.py",
+        "MAX_SINGLE_VALUES: Final = 32",
+        "MAX_SINGLE_VALUES: Final = 1",
+        "tests.test_metrics.TestLatencies.test_seldom_called_routes_take_little_memory",
+    ),
+    Mutation(
+        "reports: the number of histograms is limited",
+        "gypsumlock/metrics/metrics.py",
+        "if len(self._latencies) >= MAX_HISTOGRAMS:",
+        "if False:",
+        "tests.test_metrics.TestLatencies.test_often_called_routes_take_bounded_memory",
+    ),
     Mutation(
         "reports: a body of another call allows no longer head after it",
         "gypsumlock/mesh/upstream_connection.py",
