--- a/gypsumlock/mesh/call_classifier.py
+++ b/gypsumlock/mesh/call_classifier.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass, field
 
-from gypsumlock.http_headers import Headers
+from gypsumlock.http_headers import Headers, has_conflict
 from gypsumlock.mesh.http_server import HttpRequest
 from gypsumlock.mesh.http_text import forwardable_headers
 from gypsumlock.mesh.model import Answer, RouteSpec
@@ -17,10 +17,8 @@
 from gypsumlock.mesh.weighted_round_robin import WeightedRoundRobin
 from gypsumlock.result_codes import ResultCode
 
-__all__ = ["CLIENT_DRAIN_S", "Call", "CallClassifier"]
+__all__ = ["Call", "CallClassifier"]
 
-# Time after a stop request for which a node still accepts calls of clients, in seconds.
-CLIENT_DRAIN_S = 3.0
 # A deadline with more digits is no limit: no route waits for that many milliseconds.
 MAX_DEADLINE_DIGITS = 12
 
@@ -75,6 +73,10 @@
         table = self._state.route_table
         if table is None:
             return ResultCode.CALL_NOT_READY
+        names = self._state.header_names
+        deciding = (b"host", names.request_id, names.deadline_ms)
+        if any(has_conflict(request.headers, name) for name in deciding):
+            return ResultCode.CALL_BAD_REQUEST
         path = request.target.partition(b"?")[0].decode("latin-1")
         host = (request.header(b"host") or b"").decode("latin-1")
         route = table.find_route(host.partition(":")[0], path)
@@ -83,7 +85,8 @@
         stopping_since_s = self._state.stopping_since_s
         if (
             stopping_since_s is not None
-            and request.received_s - stopping_since_s > CLIENT_DRAIN_S
+            and request.received_s - stopping_since_s
+            > self._state.bounds.client_drain_s
         ):
             return ResultCode.CALL_LEAVING
         header_names = self._state.header_names
--- a/gypsumlock/mesh/upstream_connection.py
+++ b/gypsumlock/mesh/upstream_connection.py
@@ -17,7 +17,7 @@
 
 import httptools
 
-from gypsumlock.http_headers import Headers
+from gypsumlock.http_headers import Headers, has_conflict
 from gypsumlock.mesh.receive_budget import ReceiveBudget
 from gypsumlock.mesh.upstream_response import (
     ConnectFailed,
@@ -40,8 +40,11 @@
 # framing and trailers. Small chunks have more framing than body.
 MAX_FRAMING_BYTES = 65_536
 MAX_FRAMING_PER_BODY_BYTE = 8
+# Headers of one response. Each takes far more memory than its bytes.
+MAX_HEADERS = 1000
 
-_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d{1,6})(?!\d)")
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -61,6 +64,7 @@
         "_budget",
         "_complete",
         "_ends_at_close",
+        "_head_bytes",
         "_headers",
         "_headers_complete",
         "_id_header",
@@ -68,6 +72,7 @@
         "_method",
         "_parser",
         "_read_timer",
+        "_reason",
         "_received_bytes",
         "_request_id",
         "_response_future",
@@ -97,9 +102,13 @@
         self._request_id = b""
         self._method = b""
         self._status = 0
+        self._reason = b""
         self._headers: Headers = []
-        self._body: list[bytes] = []
+        # One buffer, as an object for each chunk would take many times its bytes.
+        self._body = bytearray()
         self._body_bytes = 0
+        # Bytes of the head that is being received; bodies don't extend its limit.
+        self._head_bytes = 0
         # Bytes received since the call was sent, and those of bodies of other calls.
         self._received_bytes = 0
         self._skipped_bytes = 0
@@ -124,6 +133,7 @@
         self._received_bytes += len(data)
         if self._timeouts is not None:
             self._start_read_timer(self._timeouts.next_byte_s)
+        was_in_head = not self._headers_complete
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -135,7 +145,10 @@
                 return
         if self._complete:
             self._deliver()
-        elif self._exceeds_framing_limit():
+            return
+        is_in_head = was_in_head and not self._headers_complete
+        self._head_bytes = self._head_bytes + len(data) if is_in_head else 0
+        if self._head_bytes > MAX_FRAMING_BYTES or self._exceeds_framing_limit():
             self._fail("no end of the response head or framing")
 
     def eof_received(self) -> bool:
@@ -189,6 +202,7 @@
         self._complete = False
         self._received_bytes = 0
         self._skipped_bytes = 0
+        self._head_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
         self._response_future = asyncio.get_running_loop().create_future()
         transport.write(data)
@@ -226,9 +240,16 @@
             return
         self._reset_response()
 
+    def on_status(self, reason: bytes) -> None:
+        """Collect a part of the reason phrase."""
+        self._reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers are not passed on."""
         if not self._complete and not self._headers_complete:
+            if len(self._headers) >= MAX_HEADERS:
+                self._fail("too many headers")
+                return
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -239,6 +260,9 @@
         self._status = self._parser.get_status_code()
         if self._status < 200:
             return
+        if self._is_joined_head():
+            self._fail("two response heads in one")
+            return
         header_values = dict(self._headers)
         echoed = header_values.get(self._id_header, b"")
         self._id_matches = not self._request_id or echoed == self._request_id
@@ -270,7 +294,7 @@
             self._fail("response body too large")
         elif self._budget.reserve(size_bytes):
             self._body_bytes += size_bytes
-            self._body.append(body)
+            self._body += body
         else:
             self._fail("too many bytes of responses are held")
 
@@ -279,6 +303,18 @@
         if not self._complete and self._status >= 200 and self._id_matches:
             self._finish_response()
 
+    def _is_joined_head(self) -> bool:
+        """Return whether the head consists of the beginning of one and another one.
+
+        An upstream may break off a copy of an earlier response anywhere in its head.
+        Status and headers of such a head belong to no single call.
+        """
+        texts = (self._reason, *(value for _, value in self._headers))
+        if any(_STATUS_LINE.search(text) for text in texts):
+            return True
+        names = (self._id_header, b"content-length", b"transfer-encoding")
+        return any(has_conflict(self._headers, name) for name in names)
+
     def _exceeds_framing_limit(self) -> bool:
         body_bytes = self._body_bytes + self._skipped_bytes
         limit_bytes = MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * body_bytes
@@ -300,8 +336,9 @@
         self._id_matches = False
         self._ends_at_close = False
         self._status = 0
+        self._reason = b""
         self._headers = []
-        self._body = []
+        self._body = bytearray()
         self._body_bytes = 0
 
     def _finish_response(self) -> None:
@@ -315,7 +352,8 @@
 
     def _deliver(self) -> None:
         if self._response_future is not None and not self._response_future.done():
-            body = b"".join(self._body)
+            body = bytes(self._body)
+            self._body = bytearray()
             self._response_future.set_result(
                 UpstreamResponse(self._status, self._headers, body)
             )
--- a/misc/report_mutations.py
+++ b/misc/report_mutations.py
@@ -10,6 +10,10 @@
 __all__ = ["REPORT_MUTATIONS"]
 
 _ENDLESS = "tests.test_endless_responses"
+_FIELDS = "tests.test_field_checks"
+_MEMORY = "tests.test_memory_bounds"
+_STOP = "tests.test_planned_stop.TestPlannedStop"
+_JOINED = "tests.test_joined_heads"
 _LEAVING = "tests.test_mesh_calls.TestLeaving"
 _SILENCE = "tests.test_mesh_calls.TestSilence"
 _DEPARTURE = "tests.test_departure_ack.TestDepartureAck"
@@ -40,10 +44,117 @@
     Mutation(
         "reports: a head, framing or trailer without end is cut off",
         "gypsumlock/mesh/upstream_connection.py",
-        "elif self._exceeds_framing_limit():",
-        "elif False:",
+        "if self._head_bytes > MAX_FRAMING_BYTES or self._exceeds_framing_limit():",
+        "if False:",
         f"{_ENDLESS}.TestEndlessResponses.test_memory_is_bounded",
     ),
+    Mutation(
+        "reports: an address that can't be parsed is no field of a record",
+        "gypsumlock/mesh/model.py",
+        "peer_address: Address",
+        "peer_address: Text",
+        f"{_FIELDS}.TestOddRows.test_odd_rows_end_no_node",
+    ),
+    Mutation(
+        "reports: a deeply nested message is ignored",
+        "gypsumlock/mesh/field_types.py",
+        "(msgspec.DecodeError, RecursionError)",
+        "(msgspec.DecodeError,)",
+        f"{_FIELDS}.TestOddRows.test_odd_rows_end_no_node",
+    ),
+    Mutation(
+        "reports: a start beyond 64 bits is no field of a record",
+        "gypsumlock/mesh/field_types.py",
+        "TimestampMs = Annotated[int, Meta(ge=0, le=2**53)]",
+        "TimestampMs = int",
+        f"{_FIELDS}.TestOddRows.test_odd_rows_end_no_node",
+    ),
+    Mutation(
+        "reports: an invalid message of another node leaves the others",
+        "gypsumlock/mesh/frames.py",
+        "                self._handle_invalid(frame)\n",
+        "                self.abort()\n                return\n",
+        f"{_FIELDS}.TestMessagesBetweenNodes."
+        "test_message_with_an_odd_field_leaves_the_others",
+    ),
+    Mutation(
+        "reports: a response that is cut in its head or body is no response",
+        "gypsumlock/mesh/upstream_connection.py",
+        "if self._ends_at_close and self._id_matches and not self._complete:",
+        "if not self._complete:",
+        "tests.test_cut_responses.TestCutResponses.test_cut_head_is_no_response",
+    ),
+    Mutation(
+        "reports: a stopping node answers the calls from before its stop",
+        "gypsumlock/mesh/node.py",
+        "        self.dispatcher.limit_deadlines()\n",
+        "",
+        f"{_STOP}.test_calls_from_before_the_stop_get_an_answer",
+    ),
+    Mutation(
+        "reports: a stopping node answers the calls that come late",
+        "gypsumlock/mesh/node.py",
+        "while loop.time() < self.state.exits_at_s:",
+        "while loop.time() < self.state.ends_at_s:",
+        f"{_STOP}.test_late_calls_get_an_answer",
+    ),
+    Mutation(
+        "reports: a stopping node accepts calls in half of its grace period",
+        "gypsumlock/mesh/state.py",
+        "MAX_CLIENT_DRAIN_SHARE = 0.5",
+        "MAX_CLIENT_DRAIN_SHARE = 1.0",
+        f"{_STOP}.test_call_in_the_second_half_of_the_grace_is_refused",
+    ),
+    Mutation(
+        "reports: a status line inside a head shows two heads",
+        "gypsumlock/mesh/upstream_connection.py",
+        "if any(_STATUS_LINE.search(text) for text in texts):",
+        "if False:",
+        f"{_JOINED}.TestJoinedResponseHeads",
+    ),
+    Mutation(
+        "reports: a request that contradicts itself is rejected",
+        "gypsumlock/mesh/call_classifier.py",
+        "if any(has_conflict(request.headers, name) for name in deciding):",
+        "if False:",
+        f"{_JOINED}.TestConflictingRequestHeaders",
+    ),
+    Mutation(
+        "reports: a route that is seldom called has no histogram",
+        "gypsumlock/metrics/metrics.py",
+        "MAX_SINGLE_VALUES: Final = 32",
+        "MAX_SINGLE_VALUES: Final = 1",
+        "tests.test_metrics.TestLatencies.test_seldom_called_routes_take_little_memory",
+    ),
+    Mutation(
+        "reports: the number of histograms is limited",
+        "gypsumlock/metrics/metrics.py",
+        "if len(self._latencies) >= MAX_HISTOGRAMS:",
+        "if False:",
+        "tests.test_metrics.TestLatencies.test_often_called_routes_take_bounded_memory",
+    ),
+    Mutation(
+        "reports: a body of another call allows no longer head after it",
+        "gypsumlock/mesh/upstream_connection.py",
+        "self._head_bytes + len(data) if is_in_head else 0",
+        "0",
+        f"{_MEMORY}.TestReceivedResponse."
+        "test_body_of_another_call_allows_no_longer_head",
+    ),
+    Mutation(
+        "reports: the number of headers of a response is limited",
+        "gypsumlock/mesh/upstream_connection.py",
+        "if len(self._headers) >= MAX_HEADERS:",
+        "if False:",
+        f"{_MEMORY}.TestReceivedResponse.test_tiny_headers_take_bounded_memory",
+    ),
+    Mutation(
+        "reports: a configuration of another node has a limited size",
+        "gypsumlock/mesh/feed_messages.py",
+        "decompressor.decompress(data, MAX_CONFIG_BYTES)",
+        "decompressor.decompress(data)",
+        f"{_MEMORY}.TestReceivedConfig",
+    ),
     Mutation(
         "reports: trailers don't say that a call was not executed",
         "gypsumlock/mesh/upstream_connection.py",
@@ -76,10 +187,40 @@
     Mutation(
         "reports: a departure is acknowledged once the store holds it",
         "gypsumlock/platform/endpoints.py",
-        "if await published.wait_for_departure(instance, DEPARTURE_ACK_TIMEOUT_S):",
+        "if await published.wait_for_departure(departure, DEPARTURE_ACK_TIMEOUT_S):",
         "if True:",
         f"{_DEPARTURE}.test_departure_is_not_acknowledged_while_the_store_is_down",
     ),
+    Mutation(
+        "reports: a process publishes the departures that it has restored",
+        "gypsumlock/mesh/record_publisher.py",
+        "departures=state.registry.departures(),",
+        "",
+        f"{_DEPARTURE}.test_departure_outlives_several_restarts",
+    ),
+    Mutation(
+        "reports: a departure of an unknown upstream is stored",
+        "gypsumlock/mesh/record_publisher.py",
+        "if published is not None or desired.instance or desired.departures:",
+        "if published is not None or desired.instance:",
+        f"{_DEPARTURE}.test_departure_before_the_first_row_is_stored",
+    ),
+    Mutation(
+        "reports: a late write of a stopped process does not take effect for good",
+        "gypsumlock/mesh/record_publisher.py",
+        "if row is not None and row.row_version > self._row_version:",
+        "if False:",
+        "tests.test_departure_ack.TestRowOfAnEarlierProcess."
+        "test_late_write_does_not_take_the_upstream_out_of_use",
+    ),
+    Mutation(
+        "reports: a process keeps what an earlier one knew of a silent upstream",
+        "gypsumlock/mesh/record_publisher.py",
+        "return self._with_previous_upstream(record)",
+        "return record",
+        "tests.test_departure_ack.TestRowOfAnEarlierProcess."
+        "test_silent_upstream_stays_known",
+    ),
     Mutation(
         "reports: a late heartbeat brings no departed upstream back after a restart",
         "gypsumlock/mesh/upstream_registry.py",
