Split the watchers of the store, and join what stood twice

Bodies of heartbeats and deregistrations share their decoding, frames and responses the write without a copy of a large body, two test classes their set-up; types of fields stand in one module. No decision changes.

--- a/gypsumlock/mesh/field_types.py
+++ b/gypsumlock/mesh/field_types.py
@@ -21,15 +21,18 @@
     "Bandwidth",
     "Count",
     "Duration",
+    "HealthPath",
     "Identifier",
     "Number",
     "Rank",
+    "Ratio",
     "Share",
     "Slots",
     "StatusCode",
     "Text",
     "TimeLeft",
     "TimestampMs",
+    "Weight",
     "is_identifier",
     "is_valid_head",
 ]
@@ -53,6 +56,9 @@
 # Any other name, such as that of a zone.
 Text = Annotated[str, Meta(max_length=200)]
 
+# A path that can be written into a request line.
+HealthPath = Annotated[str, Meta(pattern=r"\A/[!-~]*\Z")]
+
 Count = Annotated[int, Meta(ge=0, le=2**31 - 1)]
 Slots = Annotated[int, Meta(ge=1, le=100_000)]
 Rank = Annotated[int, Meta(ge=0, le=1_000)]
@@ -69,6 +75,9 @@
 # In megabits per second.
 Bandwidth = Annotated[float, Meta(ge=0, le=1e9)]
 Share = Annotated[float, Meta(ge=0, le=1)]
+# Weights are relative to the others of the same list; a ratio may exceed 1.
+Weight = Annotated[float, Meta(ge=0, le=1e9)]
+Ratio = Annotated[float, Meta(ge=0, le=1e9)]
 
 _IDENTIFIER_REGEX = re.compile(_IDENTIFIER)
 _TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
--- a/gypsumlock/mesh/frames.py
+++ b/gypsumlock/mesh/frames.py
@@ -24,6 +24,7 @@
 from gypsumlock.mesh.field_types import DECODE_ERRORS, Number, is_valid_head
 from gypsumlock.mesh.link_meter import LinkMeter
 from gypsumlock.mesh.model import Answer, CallRequest, Failure, OwnerLoad, Refusal
+from gypsumlock.mesh.write_buffer import write_with_head
 from gypsumlock.result_codes import ResultCode
 
 __all__ = [
@@ -40,9 +41,6 @@
 log = get_logger(Component.MEMBERS)
 
 MAX_FRAME_BYTES = 134_217_728
-# Size up to which a message is copied behind its length, so that both leave in one
-# write.
-MAX_JOINED_BYTES = 65_536
 _LENGTH = struct.Struct(">I")
 
 
@@ -206,11 +204,7 @@
             return False
         data = _ENCODER.encode(message)
         self._meter.record_write(len(data), self.loop.time())
-        if len(data) <= MAX_JOINED_BYTES:
-            transport.write(_LENGTH.pack(len(data)) + data)
-        else:
-            transport.write(_LENGTH.pack(len(data)))
-            transport.write(data)
+        write_with_head(transport, _LENGTH.pack(len(data)), data)
         return True
 
     def abort(self) -> None:
--- a/gypsumlock/mesh/http_server.py
+++ b/gypsumlock/mesh/http_server.py
@@ -19,7 +19,7 @@
 
 from gypsumlock.http_headers import Headers, find_header
 from gypsumlock.mesh.model import ClientLimits
-from gypsumlock.mesh.write_buffer import has_unsent_bytes
+from gypsumlock.mesh.write_buffer import has_unsent_bytes, write_with_head
 
 __all__ = ["CallServer", "HttpHandler", "HttpRequest", "ServerConnection"]
 
@@ -41,8 +41,6 @@
 # Requests of one connection that may wait while another one is handled.
 MAX_PIPELINED_REQUESTS = 16
 LISTEN_BACKLOG = 1024
-# Size up to which a body is copied behind its head, so that both leave in one write.
-MAX_JOINED_BYTES = 65_536
 # Limits that apply until a configuration is known.
 DEFAULT_LIMITS = ClientLimits(16_384, 67_108_864, 5.0, 60.0)
 
@@ -289,14 +287,7 @@
         if status >= 200 and status not in (204, 304):
             lines.append(b"content-length: %d\r\n" % len(body))
         lines.append(b"connection: close\r\n\r\n" if close_connection else b"\r\n")
-        head = b"".join(lines)
-        if request.method == b"HEAD":
-            self._write(head)
-        elif len(body) <= MAX_JOINED_BYTES:
-            self._write(head + body)
-        else:
-            self._write(head)
-            self._write(body)
+        self._write(b"".join(lines), b"" if request.method == b"HEAD" else body)
         self._finish_response(close_connection)
 
     def close_if_idle(self) -> None:
@@ -358,9 +349,9 @@
         if self._header_bytes > self._server.handler.limits().max_header_bytes:
             self._reject(431)
 
-    def _write(self, data: bytes) -> None:
+    def _write(self, head: bytes, body: bytes = b"") -> None:
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(data)
+            write_with_head(self._transport, head, body)
 
     def _start_timer(self, timeout_s: float) -> None:
         self._cancel_timer()
--- a/gypsumlock/mesh/model.py
+++ b/gypsumlock/mesh/model.py
@@ -7,10 +7,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Annotated
 
 import msgspec
-from msgspec import Meta
 
 from gypsumlock.http_headers import Headers
 from gypsumlock.mesh.field_types import (
@@ -18,6 +16,7 @@
     Bandwidth,
     Count,
     Duration,
+    HealthPath,
     Identifier,
     Number,
     Rank,
@@ -26,6 +25,7 @@
     Text,
     TimeLeft,
     TimestampMs,
+    Weight,
 )
 from gypsumlock.result_codes import ResultCode
 
@@ -37,7 +37,6 @@
     "Departure",
     "Failure",
     "HeaderNames",
-    "HealthPath",
     "MeshConfig",
     "NodeAddresses",
     "OwnerLoad",
@@ -46,17 +45,11 @@
     "ServiceShare",
     "ServiceSpec",
     "UpstreamRecord",
-    "Weight",
     "peer_lost_failure",
     "peer_unreachable_refusal",
 ]
 
 
-Weight = Annotated[float, Meta(ge=0, le=1e9)]
-# A path that can be written into a request line.
-HealthPath = Annotated[str, Meta(pattern=r"\A/[!-~]*\Z")]
-
-
 @dataclass(frozen=True, slots=True)
 class HeaderNames:
     """Lower-case names of the headers that the data path reads or sets."""
--- a/gypsumlock/mesh/record_publisher.py
+++ b/gypsumlock/mesh/record_publisher.py
@@ -12,8 +12,8 @@
 from gypsumlock.mesh.feed_store import FeedStore
 from gypsumlock.mesh.fleet_feed import FleetFeed
 from gypsumlock.mesh.model import Departure, UpstreamRecord
+from gypsumlock.mesh.record_watcher import RECORD_TABLE, decode_record
 from gypsumlock.mesh.state import MeshState
-from gypsumlock.mesh.watchers import RECORD_TABLE, decode_record
 
 __all__ = ["RecordPublisher"]
 
--- a/gypsumlock/mesh/watchers.py
+++ b/gypsumlock/mesh/table_watcher.py
@@ -1,60 +1,31 @@
-"""Controllers that follow the tables of the store."""
+"""Controller that follows one table of the store."""
 
 from __future__ import annotations
 
 from abc import abstractmethod
-from collections.abc import Callable
 
 import anyio
-import msgspec
-from result import Err, Result
+from result import Err
 
 from gypsumlock.controller import Backoff, Controller
 from gypsumlock.logs import Component, get_logger
-from gypsumlock.mesh.feed_messages import RecordRow
-from gypsumlock.mesh.feed_store import FeedRow, FeedStore, TableChanges
-from gypsumlock.mesh.field_types import DECODE_ERRORS
+from gypsumlock.mesh.feed_store import FeedStore, TableChanges
 from gypsumlock.mesh.fleet_feed import FleetFeed, TableCursor
-from gypsumlock.mesh.model import MeshConfig, UpstreamRecord
-from gypsumlock.mesh.state import MeshState
 from gypsumlock.result_codes import Fault, ResultCode
 
-__all__ = [
-    "RECORD_TABLE",
-    "ConfigWatcher",
-    "RecordWatcher",
-    "TableWatcher",
-    "decode_record",
-]
+__all__ = ["FLEET_START_DELAY_S", "TableWatcher"]
 
 log = get_logger(Component.CONFIG)
 
-# Table that holds the record of each node.
-RECORD_TABLE = "gypsumlock-nodes"
-# Long-poll timeouts, in seconds. A store that fails silently never responds to a
-# pending long poll, and sends no notification when it recovers. The timeout for the
-# configuration is short enough to notice that in time; a late record only costs a
-# refused call.
-CONFIG_WAIT_S = 2.0
-RECORD_WAIT_S = 4.0
 # Delay before the next long poll after a change, in seconds. Changes accumulate in the
 # meantime, so that one call to the store returns many of them.
 BATCH_DELAY_S = 0.5
-# The same for a node that no other node relies on. It reads the store only until it
-# finds a node to follow, and most changes of a starting fleet come in that time.
-UNFOLLOWED_CONFIG_DELAY_S = 1.0
-UNFOLLOWED_RECORD_DELAY_S = 1.5
 # Backoff after a failed call to the store, in seconds. Nodes that no other node relies
 # on back off longer, so that not every node keeps calling a store that is down.
 READER_RETRY_BASE_S = 0.2
 READER_RETRY_MAX_S = 0.8
 RETRY_BASE_S = 0.6
 RETRY_MAX_S = 1.6
-# Longest time for which the watcher of the records leaves it to that of the
-# configuration to find out that the store responds again, in seconds, and the interval
-# at which it looks.
-RECORD_RETRY_MAX_S = 5.0
-RECOVERY_POLL_INTERVAL_S = 0.2
 # Time that a node waits at its start for the state of other nodes, in seconds.
 SOURCES_TIMEOUT_S = 0.6
 # Time after which the nodes of a fleet that starts for the first time read the records,
@@ -64,8 +35,6 @@
 # Time that such a node waits for the state of other nodes, in seconds.
 FLEET_START_SOURCES_TIMEOUT_S = FLEET_START_DELAY_S + 1.0
 
-ConfigDecoder = Callable[[bytes], Result[MeshConfig, Fault]]
-
 
 class TableWatcher(Controller):
     """Follows one table while the node's reads of the store are enabled.
@@ -200,143 +169,3 @@
         if not self._cursor.reachable:
             self._cursor.reachable = True
             log.info("store reachable again", table=self._table)
-
-
-class ConfigWatcher(TableWatcher):
-    """Puts the operator's newest configuration version in force.
-
-    Parameters
-    ----------
-    store : FeedStore
-        The store.
-    feed : FleetFeed
-        The node's local copy of the configuration.
-    table, key : str
-        Table and key of the row that holds the newest version.
-    decode : Callable[[bytes], Result[MeshConfig, Fault]]
-        Decodes the row's value.
-    """
-
-    def __init__(
-        self,
-        store: FeedStore,
-        feed: FleetFeed,
-        table: str,
-        key: str,
-        decode: ConfigDecoder,
-    ) -> None:
-        super().__init__(
-            store,
-            table,
-            feed,
-            feed.config_cursor,
-            CONFIG_WAIT_S,
-            UNFOLLOWED_CONFIG_DELAY_S,
-        )
-        self._key = key
-        self._decode = decode
-
-    async def _before_first_read(self) -> None:
-        """Wait for a node that has the version: it sends far less than the store."""
-        await self._wait_for_sources()
-
-    def replace_rows(self, snapshot: TableChanges) -> None:
-        """Apply the newest version in a snapshot of the table."""
-        self.apply_changes(snapshot)
-
-    def apply_changes(self, changes: TableChanges) -> None:
-        """Apply the newest version."""
-        for row in changes.rows:
-            if row.key == self._key and row.value is not None:
-                self._apply_config(row.value)
-
-    def _apply_config(self, value: bytes) -> None:
-        decoded = self._decode(value)
-        if isinstance(decoded, Err):
-            log.error("configuration rejected", reason=decoded.err_value.text())
-            return
-        self._feed.apply_config(decoded.ok_value, "store")
-
-
-class RecordWatcher(TableWatcher):
-    """Follows the records of all nodes.
-
-    Parameters
-    ----------
-    store : FeedStore
-        The store.
-    state : MeshState
-        Shared state of the node.
-    feed : FleetFeed
-        The node's local copy of the records.
-    """
-
-    def __init__(self, store: FeedStore, state: MeshState, feed: FleetFeed) -> None:
-        super().__init__(
-            store,
-            RECORD_TABLE,
-            feed,
-            feed.records_cursor,
-            RECORD_WAIT_S,
-            UNFOLLOWED_RECORD_DELAY_S,
-        )
-        self._state = state
-
-    def replace_rows(self, snapshot: TableChanges) -> None:
-        """Apply a snapshot of the table, and drop records whose rows are gone."""
-        self.apply_changes(snapshot)
-        present = {row.key for row in snapshot.rows}
-        deleted = [node for node in self._feed.records if node not in present]
-        self._feed.drop_records(deleted, snapshot.version)
-        self._state.directory_loaded = True
-        if not self._feed.fleet_start:
-            self._feed.records_known.set()
-
-    async def _after_read(self) -> None:
-        """At the first start of a fleet, wait until upstreams have been announced."""
-        if self._feed.records_known.is_set():
-            await super()._after_read()
-        else:
-            await anyio.sleep(FLEET_START_DELAY_S)
-
-    async def _wait_before_retry(self) -> None:
-        """Wait, and then for the configuration, which is read from the same store.
-
-        In an outage every node reads the store itself, as its sources do not. One of
-        the two tables is enough to find out when it is over.
-        """
-        await super()._wait_before_retry()
-        if not self._cursor.loaded:
-            # A starting node needs both tables soon.
-            return
-        with anyio.move_on_after(RECORD_RETRY_MAX_S):
-            while not self._feed.config_cursor.reachable:
-                await anyio.sleep(RECOVERY_POLL_INTERVAL_S)
-
-    def apply_changes(self, changes: TableChanges) -> None:
-        """Apply changed records."""
-        rows: list[RecordRow] = []
-        for row in changes.rows:
-            record = decode_record(row)
-            if record is None:
-                self._feed.drop_records([row.key], row.version)
-            else:
-                rows.append(RecordRow(row.version, record))
-        self._feed.merge_records(rows)
-        if rows:
-            self._feed.records_known.set()
-
-
-def decode_record(row: FeedRow) -> UpstreamRecord | None:
-    """Return the record that a row holds, or None if it holds no valid record."""
-    if row.value is None:
-        return None
-    try:
-        record = msgspec.json.decode(row.value, type=UpstreamRecord)
-    except DECODE_ERRORS as error:
-        log.warning("record ignored", key=row.key, reason=str(error))
-        return None
-    if record.node != row.key:
-        log.warning("record ignored", key=row.key, reason="record of another node")
-        return None
-    return record
--- a/gypsumlock/platform/config.py
+++ b/gypsumlock/platform/config.py
@@ -10,15 +10,20 @@
 import msgspec
 from result import Err, Ok, Result
 
-from gypsumlock.mesh.field_types import DECODE_ERRORS, Count, Duration, Rank
+from gypsumlock.mesh.field_types import (
+    DECODE_ERRORS,
+    Count,
+    Duration,
+    HealthPath,
+    Rank,
+    Weight,
+)
 from gypsumlock.mesh.model import (
     ClientLimits,
-    HealthPath,
     MeshConfig,
     RouteSpec,
     ServiceShare,
     ServiceSpec,
-    Weight,
 )
 from gypsumlock.result_codes import Fault, ResultCode
 
--- a/gypsumlock/platform/daemon.py
+++ b/gypsumlock/platform/daemon.py
@@ -18,10 +18,11 @@
 
 from gypsumlock.controller import Controller
 from gypsumlock.logs import Component, configure_bounded_logs, get_logger
+from gypsumlock.mesh.config_watcher import ConfigWatcher
 from gypsumlock.mesh.node import MeshNode
 from gypsumlock.mesh.record_publisher import RecordPublisher
+from gypsumlock.mesh.record_watcher import RecordWatcher
 from gypsumlock.mesh.state import MeshState
-from gypsumlock.mesh.watchers import ConfigWatcher, RecordWatcher
 from gypsumlock.platform.config import decode_config
 from gypsumlock.platform.endpoints import HeartbeatHandler, ReadinessHandler
 from gypsumlock.platform.names import CONFIG_KEY, CONFIG_TABLE, HEADER_NAMES
--- a/gypsumlock/platform/endpoints.py
+++ b/gypsumlock/platform/endpoints.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TypeVar
 
 import msgspec
 from result import Err, Ok, Result
@@ -42,6 +43,8 @@
 
 log = get_logger(Component.UPSTREAM)
 
+_BodyT = TypeVar("_BodyT")
+
 # Longest wait for the store to hold a departure before it is acknowledged, in seconds.
 # Upstreams wait a second for the acknowledgement, and send it again without one.
 DEPARTURE_ACK_TIMEOUT_S = 0.8
@@ -203,12 +206,10 @@
     Result[Heartbeat, Fault]
         The heartbeat, or `PLATFORM_BAD_MESSAGE`.
     """
-    if not is_identifier(instance):
-        return _bad_instance(instance)
-    try:
-        heartbeat = msgspec.json.decode(body, type=_HeartbeatBody)
-    except DECODE_ERRORS as error:
-        return Err(Fault(ResultCode.PLATFORM_BAD_MESSAGE, str(error)))
+    decoded = _decode_body(instance, body, _HeartbeatBody)
+    if isinstance(decoded, Err):
+        return decoded
+    heartbeat = decoded.ok_value
     if heartbeat.status.state not in (STATE_READY, STATE_DRAINING):
         detail = f"unknown state {heartbeat.status.state!r}"
         return Err(Fault(ResultCode.PLATFORM_BAD_MESSAGE, detail))
@@ -242,15 +243,18 @@
     Result[Departure, Fault]
         The departure, or `PLATFORM_BAD_MESSAGE`.
     """
+    decoded = _decode_body(instance, body or b"{}", _DeregisterBody)
+    return decoded.map(lambda message: Departure(instance, message.born))
+
+
+def _decode_body(
+    instance: str, body: bytes, body_type: type[_BodyT]
+) -> Result[_BodyT, Fault]:
+    """Decode what an upstream reports of itself, and check its identifier."""
     if not is_identifier(instance):
-        return _bad_instance(instance)
+        detail = f"invalid instance {instance[:40]!r}"
+        return Err(Fault(ResultCode.PLATFORM_BAD_MESSAGE, detail))
     try:
-        born_ms = msgspec.json.decode(body, type=_DeregisterBody).born if body else 0
+        return Ok(msgspec.json.decode(body, type=body_type))
     except DECODE_ERRORS as error:
         return Err(Fault(ResultCode.PLATFORM_BAD_MESSAGE, str(error)))
-    return Ok(Departure(instance, born_ms))
-
-
-def _bad_instance(instance: str) -> Err[Fault]:
-    detail = f"invalid instance {instance[:40]!r}"
-    return Err(Fault(ResultCode.PLATFORM_BAD_MESSAGE, detail))
--- a/gypsumlock/platform/settings.py
+++ b/gypsumlock/platform/settings.py
@@ -6,14 +6,12 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Annotated
 
 import msgspec
 import yaml
-from msgspec import Meta
 from result import Err, Ok, Result
 
-from gypsumlock.mesh.field_types import Address, Bandwidth, Duration
+from gypsumlock.mesh.field_types import Address, Bandwidth, Duration, Ratio
 from gypsumlock.mesh.model import NodeAddresses
 from gypsumlock.mesh.state import MeshBounds
 from gypsumlock.result_codes import Fault, ResultCode
@@ -77,9 +75,9 @@
     # Time from a stop request to the end of the process.
     grace_s: Duration
     # Retries allowed per first attempt.
-    retry_ratio: Annotated[float, Meta(ge=0, le=1e9)]
+    retry_ratio: Ratio
     # Retries that all nodes together may send per window, in addition to the ratio.
-    retry_slack: Annotated[float, Meta(ge=0, le=1e9)]
+    retry_slack: Ratio
     retry_window_s: Duration
 
 
--- a/misc/mesh_mutations.py
+++ b/misc/mesh_mutations.py
@@ -75,7 +75,7 @@
     ),
     Mutation(
         "mesh: the records are hardly read during an outage",
-        "gypsumlock/mesh/watchers.py",
+        "gypsumlock/mesh/record_watcher.py",
         "            while not self._feed.config_cursor.reachable:",
         "            while False:",
         f"{_MESH_FEED}.TestFollowing."
@@ -124,7 +124,7 @@
     ),
     Mutation(
         "mesh: a fleet that starts for the first time reads the records once",
-        "gypsumlock/mesh/watchers.py",
+        "gypsumlock/mesh/record_watcher.py",
         "            await anyio.sleep(FLEET_START_DELAY_S)\n",
         "            pass\n",
         f"{_MESH_FEED}.TestColdStart."
--- a/misc/report_mutations.py
+++ b/misc/report_mutations.py
@@ -246,7 +246,7 @@
     ),
     Mutation(
         "mesh: a starting node calls the store few times",
-        "gypsumlock/mesh/watchers.py",
+        "gypsumlock/mesh/record_watcher.py",
         "UNFOLLOWED_RECORD_DELAY_S = 1.5",
         "UNFOLLOWED_RECORD_DELAY_S = 0.5",
         "tests.test_mesh_feed.TestColdStart",
--- a/tests/standins/mesh_fleet.py
+++ b/tests/standins/mesh_fleet.py
@@ -10,6 +10,7 @@
 import msgspec
 from result import Ok, Result
 
+from gypsumlock.mesh.config_watcher import ConfigWatcher
 from gypsumlock.mesh.http_server import HttpHandler, HttpRequest, ServerConnection
 from gypsumlock.mesh.model import (
     ClientLimits,
@@ -22,9 +23,9 @@
 )
 from gypsumlock.mesh.node import MeshNode
 from gypsumlock.mesh.record_publisher import RecordPublisher
+from gypsumlock.mesh.record_watcher import RecordWatcher
 from gypsumlock.mesh.state import MeshBounds, MeshState
 from gypsumlock.mesh.upstream_registry import Departure, Heartbeat
-from gypsumlock.mesh.watchers import ConfigWatcher, RecordWatcher
 from gypsumlock.result_codes import Fault
 from tests.standins.feed_store import MemoryFeedStore, StoreAccess
 from tests.standins.mesh_upstream import MeshUpstream
--- a/tests/test_departure_ack.py
+++ b/tests/test_departure_ack.py
@@ -11,7 +11,7 @@
 
 from gypsumlock.mesh.http_server import CallServer
 from gypsumlock.mesh.model import Departure, UpstreamRecord
-from gypsumlock.mesh.watchers import RECORD_TABLE
+from gypsumlock.mesh.record_watcher import RECORD_TABLE
 from gypsumlock.platform.endpoints import HeartbeatHandler
 from tests.standins.mesh_fleet import MeshFleet, free_address, make_config
 
@@ -24,8 +24,8 @@
 }
 
 
-class TestDepartureAck(unittest.IsolatedAsyncioTestCase):
-    """Two instances; one leaves while the store works, or is down."""
+class DepartureTestCase(unittest.IsolatedAsyncioTestCase):
+    """Two instances with a configuration."""
 
     async def asyncSetUp(self) -> None:
         self.fleet = await self.enterAsyncContext(MeshFleet())
@@ -33,6 +33,13 @@
         self.host = await self.fleet.add("n-1")
         await self.fleet.add("n-2")
         await self.fleet.wait_until_ready()
+
+
+class TestDepartureAck(DepartureTestCase):
+    """One instance leaves while the store works, or is down."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
         self.instance = self.host.upstream.instance
         await self.listen()
 
@@ -134,16 +141,9 @@
                 pass
 
 
-class TestRowOfAnEarlierProcess(unittest.IsolatedAsyncioTestCase):
+class TestRowOfAnEarlierProcess(DepartureTestCase):
     """The row of a node holds what another process of the node has written."""
 
-    async def asyncSetUp(self) -> None:
-        self.fleet = await self.enterAsyncContext(MeshFleet())
-        self.fleet.configure(make_config())
-        self.host = await self.fleet.add("n-1")
-        await self.fleet.add("n-2")
-        await self.fleet.wait_until_ready()
-
     def stored_record(self) -> UpstreamRecord:
         """Return the record in the row of the node."""
         value = self.fleet.store.tables[RECORD_TABLE]["n-1"].value
--- a/tests/test_field_checks.py
+++ b/tests/test_field_checks.py
@@ -49,10 +49,10 @@
     UpstreamRecord,
 )
 from gypsumlock.mesh.receive_budget import ReceiveBudget
+from gypsumlock.mesh.record_watcher import RECORD_TABLE, decode_record
 from gypsumlock.mesh.route_table import RouteTable
 from gypsumlock.mesh.upstream_connection import UpstreamConnection
 from gypsumlock.mesh.upstream_response import ExchangeFailed, UpstreamResponse
-from gypsumlock.mesh.watchers import RECORD_TABLE, decode_record
 from gypsumlock.platform.config import decode_config
 from gypsumlock.platform.endpoints import decode_deregistration, decode_heartbeat
 from gypsumlock.platform.settings import parse_settings
--- a/tests/test_mesh_calls.py
+++ b/tests/test_mesh_calls.py
@@ -9,7 +9,7 @@
 import uvloop
 
 from gypsumlock.mesh.model import ServiceShare, UpstreamRecord
-from gypsumlock.mesh.watchers import UNFOLLOWED_RECORD_DELAY_S
+from gypsumlock.mesh.record_watcher import UNFOLLOWED_RECORD_DELAY_S
 from tests.standins.mesh_fleet import ClientResponse, MeshFleet, MeshHost, make_config
 from tests.standins.mesh_upstream import (
     MeshUpstream,
--- a/tests/test_mesh_feed.py
+++ b/tests/test_mesh_feed.py
@@ -29,7 +29,7 @@
 from gypsumlock.mesh.frames import Message
 from gypsumlock.mesh.link_meter import BYTES_PER_MEGABIT, usable_mbps
 from gypsumlock.mesh.model import MeshConfig, ServiceShare, UpstreamRecord
-from gypsumlock.mesh.watchers import RECORD_RETRY_MAX_S, RECORD_TABLE
+from gypsumlock.mesh.record_watcher import RECORD_RETRY_MAX_S, RECORD_TABLE
 from tests.standins.mesh_fleet import MeshFleet, MeshHost, make_config
 
 # The users' limit on the time from the acceptance of a version until it is in force.
