--- a/gypsumlock/mesh/field_types.py
+++ b/gypsumlock/mesh/field_types.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import re
+import string
 from typing import Annotated, Final
 
 import msgspec
@@ -21,15 +22,18 @@
     "Bandwidth",
     "Count",
     "Duration",
+    "HealthPath",
     "Identifier",
     "Number",
     "Rank",
+    "Ratio",
     "Share",
     "Slots",
     "StatusCode",
     "Text",
     "TimeLeft",
     "TimestampMs",
+    "Weight",
     "is_identifier",
     "is_valid_head",
 ]
@@ -53,6 +57,9 @@
 # Any other name, such as that of a zone.
 Text = Annotated[str, Meta(max_length=200)]
 
+# A path that can be written into a request line.
+HealthPath = Annotated[str, Meta(pattern=r"\A/[!-~]*\Z")]
+
 Count = Annotated[int, Meta(ge=0, le=2**31 - 1)]
 Slots = Annotated[int, Meta(ge=1, le=100_000)]
 Rank = Annotated[int, Meta(ge=0, le=1_000)]
@@ -69,13 +76,16 @@
 # In megabits per second.
 Bandwidth = Annotated[float, Meta(ge=0, le=1e9)]
 Share = Annotated[float, Meta(ge=0, le=1)]
+# Weights are relative to the others of the same list; a ratio may exceed 1.
+Weight = Annotated[float, Meta(ge=0, le=1e9)]
+Ratio = Annotated[float, Meta(ge=0, le=1e9)]
 
 _IDENTIFIER_REGEX = re.compile(_IDENTIFIER)
-_TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
-_METHOD_REGEX = re.compile(rb"\A" + _TOKEN + rb"\Z")
-_HEADER_NAMES_REGEX = re.compile(rb"\A(?:" + _TOKEN + rb"\n)*\Z")
-_TARGET_REGEX = re.compile(rb"\A[!-~\x80-\xff]+\Z")
-_BAD_IN_VALUE_REGEX = re.compile(rb"[\x00\r\n]")
+# Bytes of method names and header names, and of request targets.
+_TOKEN_BYTES = b"!#$%&'*+-.^_`|~" + (string.ascii_letters + string.digits).encode()
+_TARGET_BYTES = bytes([*range(0x21, 0x7F), *range(0x80, 0x100)])
+# Bytes that end a header value.
+_LINE_ENDS = b"\x00\r\n"
 
 
 def is_identifier(text: str) -> bool:
@@ -95,11 +105,12 @@
     method, target : bytes
         Method and target of a request.
     """
-    names = b"".join([name + b"\n" for name, _ in headers])
+    tokens = [method, *[name for name, _ in headers]]
     values = b"".join([value for _, value in headers])
     return (
-        _HEADER_NAMES_REGEX.match(names) is not None
-        and _BAD_IN_VALUE_REGEX.search(values) is None
-        and _METHOD_REGEX.match(method) is not None
-        and _TARGET_REGEX.match(target) is not None
+        all(tokens)
+        and bool(target)
+        and not b"".join(tokens).translate(None, _TOKEN_BYTES)
+        and not target.translate(None, _TARGET_BYTES)
+        and len(values.translate(None, _LINE_ENDS)) == len(values)
     )
