Leave new connections of a stopping node time for their first request

What callers saw: with real processes, a call on a connection opened 2.8 s after SIGTERM ended with a closed connection at once, unread.

Cause: from 2.4 s on, a stopping node closes idle connections every 50 ms; a connection without its first request counted as idle.

Change: a connection is closed once it has been idle for 0.2 s.

Evidence: tests.test_planned_stop.…test_new_connection_has_time_for_its_request fails with MIN_IDLE_S = 0 (new mutation) and passes.

--- a/gypsumlock/mesh/http_server.py
+++ b/gypsumlock/mesh/http_server.py
@@ -41,6 +41,8 @@
 # Requests of one connection that may wait while another one is handled.
 MAX_PIPELINED_REQUESTS = 16
 LISTEN_BACKLOG = 1024
+# Time for which a stopping node leaves an idle connection open, in seconds.
+MIN_IDLE_S = 0.2
 # Limits that apply until a configuration is known.
 DEFAULT_LIMITS = ClientLimits(16_384, 67_108_864, 5.0, 60.0)
 
@@ -110,7 +112,7 @@
         )
 
     def close_idle_connections(self) -> None:
-        """Close all connections without a request in progress."""
+        """Close all connections that have had no request for a moment."""
         for connection in list(self.connections):
             connection.close_if_idle()
 
@@ -132,6 +134,7 @@
         "_current",
         "_header_bytes",
         "_headers",
+        "_idle_since_s",
         "_parser",
         "_pipelined",
         "_reading_request",
@@ -151,6 +154,8 @@
         self._current: HttpRequest | None = None
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        # Monotonic time of the end of the last response, or of the connection's start.
+        self._idle_since_s = server.loop.time()
         self._reading_request = False
         self._rejected = False
         self._target = b""
@@ -291,8 +296,12 @@
         self._finish_response(close_connection)
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is in progress."""
-        if not self.busy and self._transport is not None:
+        """Close the connection if it has been idle for longer than a client needs.
+
+        The first request of a new connection may be on its way.
+        """
+        idle_s = self._server.loop.time() - self._idle_since_s
+        if not self.busy and idle_s > MIN_IDLE_S and self._transport is not None:
             self._transport.close()
 
     def abort(self) -> None:
@@ -316,6 +325,7 @@
     def _finish_response(self, close_connection: bool) -> None:
         self._current = None
         self._task = None
+        self._idle_since_s = self._server.loop.time()
         if close_connection and self._transport is not None:
             self._pipelined.clear()
             self._transport.close()
--- a/misc/report_mutations.py
+++ b/misc/report_mutations.py
@@ -133,6 +133,13 @@
         "if False:",
         "tests.test_metrics.TestLatencies.test_often_called_routes_take_bounded_memory",
     ),
+    Mutation(
+        "reports: a stopping node leaves new connections time for a request",
+        "gypsumlock/mesh/http_server.py",
+        "MIN_IDLE_S = 0.2",
+        "MIN_IDLE_S = 0.0",
+        f"{_STOP}.test_new_connection_has_time_for_its_request",
+    ),
     Mutation(
         "reports: a body of another call allows no longer head after it",
         "gypsumlock/mesh/upstream_connection.py",
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -84,6 +84,23 @@
         self.assertEqual(self.count_received(), before)
         self.assertIn((await running).status, ANSWER_STATUSES)
 
+    # A connection was closed before its first request had arrived.
+    async def test_new_connection_has_time_for_its_request(self) -> None:
+        running = self.call()
+        await asyncio.sleep(0.1)
+        self.stop(self.near)
+        await asyncio.sleep(0.45 * self.grace_s)
+        host, _, port = self.near.addresses.calls.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        await asyncio.sleep(0.1)
+        writer.write(
+            b"GET /unknown/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: a\r\n\r\n"
+        )
+        async with asyncio.timeout(0.5):
+            self.assertIn(b" 404 ", await reader.readline())
+        writer.close()
+        self.assertIn((await running).status, ANSWER_STATUSES)
+
     async def test_ready_response_is_delivered(self) -> None:
         for host in self.fleet.hosts:
             host.upstream.delay_s = 0.6 * self.grace_s
