Leave the row of a starting node until it has probed its upstream

Change: while no upstream is known and the probe has not ended, only a new departure is published. A wake-up that writes nothing delays the next write no longer.

Evidence: test_restart_does_not_take_the_upstream_out_of_use (the history of the store has no record that does not serve), which fails without the mechanism (new mutation).

--- a/gypsumlock/mesh/node.py
+++ b/gypsumlock/mesh/node.py
@@ -126,6 +126,7 @@
         previous = await self.state.previous_record
         await self.state.configured.wait()
         await probe_upstream(self.state, previous)
+        self.state.upstream_probed = True
         # Whatever the probe found, the row in the store may now be out of date.
         self.notify_upstream_changed()
 
--- a/gypsumlock/mesh/record_publisher.py
+++ b/gypsumlock/mesh/record_publisher.py
@@ -52,12 +52,15 @@
             self._state.publish_needed.clear()
             self._adopt_newer_row()
             desired = self.desired_record()
+            has_written = False
             while self._must_publish(desired):
+                has_written = True
                 if not await self._write(desired):
                     await backoff.wait()
                 desired = self.desired_record()
             backoff.reset()
-            await anyio.sleep(MIN_PUBLISH_INTERVAL_S)
+            if has_written:
+                await anyio.sleep(MIN_PUBLISH_INTERVAL_S)
 
     def _must_publish(self, desired: UpstreamRecord) -> bool:
         """Return whether the row differs from the desired record.
@@ -65,12 +68,26 @@
         A node without an upstream needs no row, unless a row says otherwise.
         """
         published = self._state.published.record
+        if published is not None and self._awaits_upstream(desired, published):
+            return False
         if published is not None or desired.instance or desired.departures:
             return desired != published
         own_address = self._state.addresses.peers
         records = self._feed.newest_records()
         return any(record.peer_address == own_address for record in records)
 
+    def _awaits_upstream(
+        self, desired: UpstreamRecord, published: UpstreamRecord
+    ) -> bool:
+        """Return whether a starting node may soon hear of its upstream.
+
+        Until then what an earlier process has published stays: without it, other nodes
+        would take the upstream out of use for a moment.
+        """
+        state = self._state
+        is_known = state.registry.current is not None or state.upstream_probed
+        return not is_known and desired.departures == published.departures
+
     def desired_record(self) -> UpstreamRecord:
         """Return the record that the row should hold now."""
         state = self._state
--- a/gypsumlock/mesh/state.py
+++ b/gypsumlock/mesh/state.py
@@ -125,6 +125,7 @@
         "route_table",
         "service",
         "stopping_since_s",
+        "upstream_probed",
         "zone",
     )
 
@@ -158,6 +159,8 @@
         self.previous_record: asyncio.Future[UpstreamRecord | None] = (
             asyncio.get_running_loop().create_future()
         )
+        # True once a starting node has probed the upstream of an earlier process.
+        self.upstream_probed = False
         # Set when the first configuration version comes into force.
         self.configured = asyncio.Event()
         self.route_table: RouteTable | None = None
--- a/misc/report_mutations.py
+++ b/misc/report_mutations.py
@@ -140,6 +140,14 @@
         "MIN_IDLE_S = 0.0",
         f"{_STOP}.test_new_connection_has_time_for_its_request",
     ),
+    Mutation(
+        "mesh: a starting node leaves its row until it has probed its upstream",
+        "gypsumlock/mesh/record_publisher.py",
+        "return not is_known and desired.departures == published.departures",
+        "return False",
+        "tests.test_departure_ack.TestRowOfAnEarlierProcess."
+        "test_restart_does_not_take_the_upstream_out_of_use",
+    ),
     Mutation(
         "reports: a body of another call allows no longer head after it",
         "gypsumlock/mesh/upstream_connection.py",
--- a/tests/test_departure_ack.py
+++ b/tests/test_departure_ack.py
@@ -166,6 +166,18 @@
         self.write(replace(self.stored_record(), serving=False))
         await self.wait_until_served()
 
+    # Reading its own row made a starting node publish that it had no upstream.
+    async def test_restart_does_not_take_the_upstream_out_of_use(self) -> None:
+        before = self.fleet.store.version
+        await self.fleet.restart(self.host)
+        await asyncio.sleep(SETTLE_S)
+        written = [
+            msgspec.json.decode(row.value or b"", type=UpstreamRecord)
+            for table, row in self.fleet.store.history
+            if table == RECORD_TABLE and row.key == "n-1" and row.version > before
+        ]
+        self.assertEqual([record for record in written if not record.serving], [])
+
     async def test_late_departure_is_kept(self) -> None:
         departure = Departure("i-0", 500)
         self.write(replace(self.stored_record(), departures=(departure,)))
