Write a row again that another program has overwritten

What callers saw (by test): another writer overwrites the rows of live nodes with bytes that can't be read. Nodes that read the store drop these upstreams, nodes that follow others keep them, and a node that follows others never hears that its row is gone: its upstream stays out of use for the readers, and after a restart an upstream that had deregistered is used again (DRAIN), as the row was all that knew of it.

Cause: a row that can't be read was dropped where it was read, and drops aren't forwarded.

Change: in place of such a row a reader takes over a record of that node that names no upstream. It is merged and forwarded like any other, so the node itself hears of it in any role, adopts the row's version, and writes what it knows, departures included.

Ruled out: a message for drops; followers that connect later would have missed it.

Evidence: TestOddRows.test_overwritten_row_is_written_again and test_departure_outlives_an_overwritten_row, both failed before.

Open: a node that is started after its row was overwritten, before any process wrote it again, finds nothing in it.

--- a/gypsumlock/mesh/record_watcher.py
+++ b/gypsumlock/mesh/record_watcher.py
@@ -90,7 +90,7 @@
         """Apply changed records."""
         rows: list[RecordRow] = []
         for row in changes.rows:
-            record = decode_record(row)
+            record = decode_record(row) or self._without_upstream(row)
             if record is None:
                 self._feed.drop_records([row.key], row.version)
             else:
@@ -99,6 +99,18 @@
         if rows:
             self._feed.records_known.set()
 
+    def _without_upstream(self, row: FeedRow) -> UpstreamRecord | None:
+        """Return a record in place of one that another program has overwritten.
+
+        It names no upstream. It is forwarded like any other record, so that the node
+        itself hears of it, whether or not it reads the store, and writes its row again.
+        """
+        known = self._feed.records.get(row.key)
+        if row.value is None or known is None:
+            return None
+        record = known.record
+        return UpstreamRecord(record.node, record.peer_address, record.zone)
+
 
 def decode_record(row: FeedRow) -> UpstreamRecord | None:
     """Return the record that a row holds, or None if it holds no valid record."""
--- a/tests/test_field_checks.py
+++ b/tests/test_field_checks.py
@@ -432,6 +432,48 @@
         fleet.hosts[3].send_heartbeat(leaving=True)
         await fleet.wait_until_ready(upstreams=3)
 
+    # Nodes that did not read the store went on without knowing that their row was gone.
+    async def test_overwritten_row_is_written_again(self) -> None:
+        fleet = await self.start_fleet()
+        for host in fleet.hosts:
+            fleet.store.put(RECORD_TABLE, host.name, DEEPLY_NESTED)
+        await self.check_rows_are_written_again(fleet)
+
+    async def test_departure_outlives_an_overwritten_row(self) -> None:
+        fleet = await self.start_fleet()
+        host = fleet.hosts[3]
+        host.send_heartbeat(leaving=True)
+        await fleet.wait_until_ready(upstreams=3)
+        fleet.store.put(RECORD_TABLE, host.name, b"odd")
+        await asyncio.sleep(2.0)
+        await fleet.restart(host)
+        host.send_heartbeat()
+        await asyncio.sleep(2.0)
+        await fleet.wait_until_ready(upstreams=3)
+
+    async def start_fleet(self) -> MeshFleet:
+        """Return a fleet of which some nodes do not read the store."""
+        fleet = await self.enterAsyncContext(MeshFleet())
+        fleet.configure(make_config())
+        for number in range(4):
+            await fleet.add(f"n-{number}", link_mbps=10.0)
+        await fleet.wait_until_ready()
+        # By now the nodes follow each other.
+        await asyncio.sleep(1.5)
+        reads = [host.node.feed.store_reads_enabled.is_set() for host in fleet.hosts]
+        self.assertIn(False, reads)
+        return fleet
+
+    async def check_rows_are_written_again(self, fleet: MeshFleet) -> None:
+        """Check that soon all nodes know all upstreams from their own rows."""
+        await asyncio.sleep(2.0)
+        names = {host.name for host in fleet.hosts}
+        for host in fleet.hosts:
+            views = host.node.directory.views("finder")
+            self.assertEqual({view.node for view in views}, names)
+            row = fleet.store.tables[RECORD_TABLE][host.name]
+            self.assertIsNotNone(decode_record(row))
+
 
 def odd_records() -> Iterator[bytes]:
     """Yield records that name a node to follow, each with one odd field."""
