Write the row again when another one takes the node's address

What callers saw (by test): a readable row of another writer names the address of a live node under another name. The newest row of an address counts, so the live upstream was out of use, or was called under the odd row's name, until its node next wrote.

Cause: a node wrote its row only when what it says of itself changed.

Change: a node that is not stopping also writes when a newer row of another name holds its address.

Evidence: TestOddRows.test_address_of_a_live_node_under_another_name, with a row that serves and one that doesn't; both failed before.

--- a/gypsumlock/mesh/fleet_feed.py
+++ b/gypsumlock/mesh/fleet_feed.py
@@ -171,8 +171,7 @@
             self.records[row.record.node] = row
         if newer:
             self._update_directory()
-            if any(row.record.node == self._state.node for row in newer):
-                # Another process of this node may have written its row.
+            if any(self._concerns_own_row(row.record) for row in newer):
                 self._state.publish_needed.set()
             if self.listener is not None:
                 self.listener.on_records(newer)
@@ -209,5 +208,15 @@
         current = self.records.get(row.record.node)
         return current is None or row.row_version > current.row_version
 
+    def _concerns_own_row(self, record: UpstreamRecord) -> bool:
+        """Return whether this node's row may have to be written again.
+
+        Another process of this node may have written it, or another program a row with
+        this node's address.
+        """
+        state = self._state
+        own_address = state.addresses.peers
+        return record.node == state.node or record.peer_address == own_address
+
     def _update_directory(self) -> None:
         self._directory.update({x.node: x for x in self.newest_records()})
--- a/gypsumlock/mesh/record_publisher.py
+++ b/gypsumlock/mesh/record_publisher.py
@@ -71,11 +71,24 @@
         if published is not None and self._awaits_upstream(desired, published):
             return False
         if published is not None or desired.instance or desired.departures:
-            return desired != published
+            return desired != published or self._is_hidden()
         own_address = self._state.addresses.peers
         records = self._feed.newest_records()
         return any(record.peer_address == own_address for record in records)
 
+    def _is_hidden(self) -> bool:
+        """Return whether a newer row of another name holds this node's address.
+
+        Other nodes use only the newest row of an address.
+        """
+        state = self._state
+        return not state.stopping and any(
+            row.record.peer_address == state.addresses.peers
+            and row.record.node != state.node
+            and row.row_version > self._row_version
+            for row in self._feed.records.values()
+        )
+
     def _awaits_upstream(
         self, desired: UpstreamRecord, published: UpstreamRecord
     ) -> bool:
--- a/tests/test_field_checks.py
+++ b/tests/test_field_checks.py
@@ -451,6 +451,20 @@
         await asyncio.sleep(2.0)
         await fleet.wait_until_ready(upstreams=3)
 
+    # A valid row hid the row of the live node whose address it named.
+    async def test_address_of_a_live_node_under_another_name(self) -> None:
+        for serving in (False, True):
+            with self.subTest(serving=serving):
+                fleet = await self.start_fleet()
+                for host in fleet.hosts:
+                    odd = msgspec.structs.replace(
+                        make_record(f"odd-{host.name}"),
+                        peer_address=host.addresses.peers,
+                        serving=serving,
+                    )
+                    fleet.store.put(RECORD_TABLE, odd.node, msgspec.json.encode(odd))
+                await self.check_rows_are_written_again(fleet)
+
     async def start_fleet(self) -> MeshFleet:
         """Return a fleet of which some nodes do not read the store."""
         fleet = await self.enterAsyncContext(MeshFleet())
