Reject starts in the far future

What callers saw (by test): a heartbeat of another writer with a start far in the future is in range, and makes each later heartbeat of the real upstream look older: it is ignored until the node restarts.

Cause: the range of a timestamp went to 2**53 milliseconds.

Change: it ends with the year 2100, for heartbeats, deregistrations, records alike.

Evidence: TestHeartbeats.test_start_in_the_far_future_is_rejected failed before. Values between today and 2100 still pass: they can't be told from a clock that is off.

--- a/gypsumlock/mesh/field_types.py
+++ b/gypsumlock/mesh/field_types.py
@@ -66,8 +66,9 @@
 StatusCode = Annotated[int, Meta(ge=100, le=999)]
 # Version of a row or of the configuration, or number of a message.
 Number = Annotated[int, Meta(ge=0, le=2**63 - 1)]
-# Unix milliseconds.
-TimestampMs = Annotated[int, Meta(ge=0, le=2**53)]
+# Unix milliseconds, until the year 2100. One in the far future would make every later
+# start look older.
+TimestampMs = Annotated[int, Meta(ge=0, le=4_102_444_800_000)]
 
 # In seconds.
 Duration = Annotated[float, Meta(ge=0, le=1e9)]
--- a/tests/test_field_checks.py
+++ b/tests/test_field_checks.py
@@ -198,6 +198,14 @@
         self.assertTrue(decode_heartbeat("i-1", body).is_err())
         self.assertTrue(decode_deregistration("i-1", body).is_err())
 
+    # A start in the far future outdated all later heartbeats of the upstream.
+    def test_start_in_the_far_future_is_rejected(self) -> None:
+        for born_ms in (2**53, 10**15):
+            body = json.dumps({**self.VALID, "born": born_ms}).encode()
+            self.assertTrue(decode_heartbeat("i-1", body).is_err())
+            body = json.dumps({"born": born_ms}).encode()
+            self.assertTrue(decode_deregistration("i-1", body).is_err())
+
     def test_odd_instances_are_rejected(self) -> None:
         body = json.dumps(self.VALID).encode()
         self.assertTrue(decode_heartbeat("i-1", body).is_ok())
