Reject heartbeats of a service that nobody named

What callers saw (by test): one heartbeat with the upstream's address and a service that is in no configuration took the upstream out of use until the next sound heartbeat. PROTOCOL.md: "a state or service that isn't named here ... It names no server to use; the others hold".

Cause: the service of a heartbeat was not checked against anything.

Change: it has to be that of the settings or one of the configuration in force; before the first version, which can't tell, any is taken.

Ruled out: only that of the settings, as these may be read up to a second later than an upstream of another service starts at the address.

Evidence: TestDepartureAck.test_heartbeat_of_an_unknown_service_is_rejected failed before.

--- a/gypsumlock/mesh/state.py
+++ b/gypsumlock/mesh/state.py
@@ -202,6 +202,14 @@
             self.route_table is not None and self.directory_loaded and not self.stopping
         )
 
+    def is_known_service(self, name: str) -> bool:
+        """Return whether an upstream can belong to a service.
+
+        Before the first configuration version this can't be told.
+        """
+        table = self.route_table
+        return table is None or name == self.service or table.service(name) is not None
+
     def activate_route_table(self, table: RouteTable) -> bool:
         """Replace the table as a whole; return False if the new one isn't newer."""
         if self.route_table is not None and table.version <= self.route_table.version:
--- a/gypsumlock/platform/endpoints.py
+++ b/gypsumlock/platform/endpoints.py
@@ -163,6 +163,10 @@
             log.warning("invalid heartbeat rejected", reason=decoded.err_value.text())
             return STATUS_BAD_REQUEST
         heartbeat = decoded.ok_value
+        if not self._state.is_known_service(heartbeat.service):
+            reason = f"unknown service {heartbeat.service!r}"
+            log.warning("invalid heartbeat rejected", reason=reason)
+            return STATUS_BAD_REQUEST
         if self._state.registry.observe(heartbeat):
             log.info(
                 "upstream state changed",
--- a/tests/test_departure_ack.py
+++ b/tests/test_departure_ack.py
@@ -82,6 +82,20 @@
         incarnation = self.host.node.state.registry.current
         self.assertTrue(incarnation is None or incarnation.leaving)
 
+    # One odd heartbeat took the upstream out of use.
+    async def test_heartbeat_of_an_unknown_service_is_rejected(self) -> None:
+        odd = {
+            "address": self.host.upstream.address,
+            "info": {"service": "nobody", "zone": "a", "slots": 4},
+            "status": {"state": "ready", "sequence": 99},
+            "born": 1000,
+        }
+        self.assertEqual(await self.send("Heartbeat", odd), 400)
+        self.assertEqual((await self.fleet.call(self.host)).status, 200)
+        incarnation = self.host.node.state.registry.current
+        assert incarnation is not None
+        self.assertEqual(incarnation.service, "finder")
+
     async def test_departure_is_acknowledged_once_it_is_stored(self) -> None:
         self.assertEqual(await self.send_draining(), 200)
         record = self.host.node.state.published.record
