Log how long an answer waited for the link

An answer that waited half a second longer than its own bytes take is logged now, with rank, size and both times.

--- a/gypsumlock/mesh/peer_server.py
+++ b/gypsumlock/mesh/peer_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from gypsumlock.logs import Component, get_logger
 from gypsumlock.mesh.call_handler import CallHandler
 from gypsumlock.mesh.feed_messages import (
     ConfigSnapshot,
@@ -32,6 +33,11 @@
 
 __all__ = ["InboundConnection", "PeerServer"]
 
+log = get_logger(Component.MEMBERS)
+
+# Shortest wait for the link that is logged, in seconds.
+MIN_LOGGED_WAIT_S = 0.5
+
 
 class InboundConnection(FramedProtocol, FollowerConnection):
     """Server side of a connection from another node."""
@@ -105,12 +111,27 @@
         if isinstance(outcome, Answer):
             body_bytes = len(outcome.body)
             self.memory.answers.hold(body_bytes)
+            began_s = self.loop.time()
             try:
                 await self._send_body(outcome, request.rank, target_at_s)
             finally:
                 self.memory.answers.release(body_bytes)
+            self._log_wait(request, body_bytes, self.loop.time() - began_s)
         self.send(outcome)
 
+    def _log_wait(self, request: CallRequest, body_bytes: int, wait_s: float) -> None:
+        """Log that an answer waited longer for the link than its own bytes take."""
+        own_s = self._server.meter.transmission_s(body_bytes)
+        if wait_s - own_s > MIN_LOGGED_WAIT_S:
+            log.info(
+                "answer waited for the link",
+                call=request.request_id.decode("latin-1"),
+                rank=request.rank,
+                size_bytes=body_bytes,
+                wait_s=round(wait_s, 3),
+                own_s=round(own_s, 3),
+            )
+
     def busy(self) -> bool:
         """Return whether a call is in flight, up to the last byte of its response."""
         return bool(self._tasks) or has_unsent_bytes(self.transport)
