--- a/gypsumlock/mesh/state.py
+++ b/gypsumlock/mesh/state.py
@@ -8,6 +8,7 @@
 import asyncio
 
 from gypsumlock.mesh.link_meter import LinkMeter, usable_mbps
+from gypsumlock.mesh.memory_account import MemoryAccount
 from gypsumlock.mesh.model import HeaderNames, NodeAddresses, UpstreamRecord
 from gypsumlock.mesh.pacer import Pacer
 from gypsumlock.mesh.published_record import PublishedRecord
@@ -30,7 +31,8 @@
 MAX_CLIENT_DRAIN_SHARE = 0.5
 # Time from the last deadline of a call to the end of the grace period, in seconds.
 END_MARGIN_S = 0.6
-MAX_END_MARGIN_SHARE = 0.3
+# Less than a sixth: an upstream's work is cut off in the last sixth only.
+MAX_END_MARGIN_SHARE = 0.15
 # Part of it that is left when the process exits: responses are sent in the rest.
 EXIT_MARGIN_SHARE = 0.5
 
@@ -104,6 +106,8 @@
         known.
     fleet_start : bool
         True if the whole fleet starts for the first time.
+    memory_mb : float
+        Memory that the process may use, in megabytes; 0 if it is not known.
     """
 
     __slots__ = (
@@ -116,6 +120,7 @@
         "header_names",
         "link_mbps",
         "link_meter",
+        "memory",
         "node",
         "pacer",
         "previous_record",
@@ -139,6 +144,7 @@
         bounds: MeshBounds,
         link_mbps: float = 0.0,
         fleet_start: bool = False,
+        memory_mb: float = 0.0,
     ) -> None:
         self.node = node
         self.zone = zone
@@ -150,6 +156,7 @@
         self.fleet_start = fleet_start
         self.link_meter = LinkMeter(usable_mbps(link_mbps))
         self.pacer = Pacer(self.link_meter)
+        self.memory = MemoryAccount(memory_mb)
         self.registry = UpstreamRegistry(addresses.upstream)
         # Set whenever the node's own record has to be published again.
         self.publish_needed = asyncio.Event()
@@ -201,6 +208,14 @@
             self.route_table is not None and self.directory_loaded and not self.stopping
         )
 
+    def is_known_service(self, name: str) -> bool:
+        """Return whether an upstream can belong to a service.
+
+        Before the first configuration version this can't be told.
+        """
+        table = self.route_table
+        return table is None or name == self.service or table.service(name) is not None
+
     def activate_route_table(self, table: RouteTable) -> bool:
         """Replace the table as a whole; return False if the new one isn't newer."""
         if self.route_table is not None and table.version <= self.route_table.version:
--- a/tests/test_field_checks.py
+++ b/tests/test_field_checks.py
@@ -39,6 +39,7 @@
     Withdraw,
 )
 from gypsumlock.mesh.link_meter import LinkMeter
+from gypsumlock.mesh.memory_account import ByteBudget
 from gypsumlock.mesh.model import (
     Answer,
     CallRequest,
@@ -48,7 +49,6 @@
     Refusal,
     UpstreamRecord,
 )
-from gypsumlock.mesh.receive_budget import ReceiveBudget
 from gypsumlock.mesh.record_watcher import RECORD_TABLE, decode_record
 from gypsumlock.mesh.route_table import RouteTable
 from gypsumlock.mesh.upstream_connection import UpstreamConnection
@@ -198,6 +198,14 @@
         self.assertTrue(decode_heartbeat("i-1", body).is_err())
         self.assertTrue(decode_deregistration("i-1", body).is_err())
 
+    # A start in the far future outdated all later heartbeats of the upstream.
+    def test_start_in_the_far_future_is_rejected(self) -> None:
+        for born_ms in (2**53, 10**15):
+            body = json.dumps({**self.VALID, "born": born_ms}).encode()
+            self.assertTrue(decode_heartbeat("i-1", body).is_err())
+            body = json.dumps({"born": born_ms}).encode()
+            self.assertTrue(decode_deregistration("i-1", body).is_err())
+
     def test_odd_instances_are_rejected(self) -> None:
         body = json.dumps(self.VALID).encode()
         self.assertTrue(decode_heartbeat("i-1", body).is_ok())
@@ -372,7 +380,7 @@
 
     async def receive(self, head: bytes) -> UpstreamResponse | None:
         """Return the response to a call, or None if there is no usable one."""
-        connection = UpstreamConnection(b"request-id", ReceiveBudget())
+        connection = UpstreamConnection(b"request-id", ByteBudget())
         connection.connection_made(RecordingTransport())
         exchange = asyncio.create_task(connection.exchange(b"GET", b"a", b"GET /"))
         await asyncio.sleep(0)
@@ -432,6 +440,62 @@
         fleet.hosts[3].send_heartbeat(leaving=True)
         await fleet.wait_until_ready(upstreams=3)
 
+    # Nodes that did not read the store went on without knowing that their row was gone.
+    async def test_overwritten_row_is_written_again(self) -> None:
+        fleet = await self.start_fleet()
+        for host in fleet.hosts:
+            fleet.store.put(RECORD_TABLE, host.name, DEEPLY_NESTED)
+        await self.check_rows_are_written_again(fleet)
+
+    async def test_departure_outlives_an_overwritten_row(self) -> None:
+        fleet = await self.start_fleet()
+        host = fleet.hosts[3]
+        host.send_heartbeat(leaving=True)
+        await fleet.wait_until_ready(upstreams=3)
+        fleet.store.put(RECORD_TABLE, host.name, b"odd")
+        await asyncio.sleep(2.0)
+        await fleet.restart(host)
+        host.send_heartbeat()
+        await asyncio.sleep(2.0)
+        await fleet.wait_until_ready(upstreams=3)
+
+    # A valid row hid the row of the live node whose address it named.
+    async def test_address_of_a_live_node_under_another_name(self) -> None:
+        for serving in (False, True):
+            with self.subTest(serving=serving):
+                fleet = await self.start_fleet()
+                for host in fleet.hosts:
+                    odd = msgspec.structs.replace(
+                        make_record(f"odd-{host.name}"),
+                        peer_address=host.addresses.peers,
+                        serving=serving,
+                    )
+                    fleet.store.put(RECORD_TABLE, odd.node, msgspec.json.encode(odd))
+                await self.check_rows_are_written_again(fleet)
+
+    async def start_fleet(self) -> MeshFleet:
+        """Return a fleet of which some nodes do not read the store."""
+        fleet = await self.enterAsyncContext(MeshFleet())
+        fleet.configure(make_config())
+        for number in range(4):
+            await fleet.add(f"n-{number}", link_mbps=10.0)
+        await fleet.wait_until_ready()
+        # By now the nodes follow each other.
+        await asyncio.sleep(1.5)
+        reads = [host.node.feed.store_reads_enabled.is_set() for host in fleet.hosts]
+        self.assertIn(False, reads)
+        return fleet
+
+    async def check_rows_are_written_again(self, fleet: MeshFleet) -> None:
+        """Check that soon all nodes know all upstreams from their own rows."""
+        await asyncio.sleep(2.0)
+        names = {host.name for host in fleet.hosts}
+        for host in fleet.hosts:
+            views = host.node.directory.views("finder")
+            self.assertEqual({view.node for view in views}, names)
+            row = fleet.store.tables[RECORD_TABLE][host.name]
+            self.assertIsNotNone(decode_record(row))
+
 
 def odd_records() -> Iterator[bytes]:
     """Yield records that name a node to follow, each with one odd field."""
