Keep a share of a full link for the lower ranks

Cause: large responses went out in strict order of rank. While downloads of rank 1 fill the link of the upstream's machine, an answer of rank 2 gets no turn, and the machine that waits for it stops.

Change: while lower ranks wait, one turn in eight is theirs, the earliest latency target first. The choice is a module of its own (turn_queue.py).

Weighed: age that lifts an answer's turn (nothing bounds what it takes from urgent ones); small answers first (an urgent download waits for any number of them); all in the order of targets (late downloads, whose targets have passed, still go first). An urgent answer of up to seven chunks waits for one more chunk at most (tested).

--- a/gypsumlock/mesh/pacer.py
+++ b/gypsumlock/mesh/pacer.py
@@ -3,22 +3,16 @@
 Designed for large responses on a low-bandwidth link. A message waits behind everything
 that was written before it, on any connection. A large response is therefore written
 only as fast as the link transmits it, and a short urgent message waits for a few chunks
-at most.
-
-Large responses of urgent routes go first, and of those with the same rank the one with
-the earliest latency target. If they shared the link equally, each new one would delay
-all others beyond the time for which they were admitted.
+at most. `TurnQueue` decides which response goes first.
 """
 
 from __future__ import annotations
 
 import asyncio
-import heapq
-import itertools
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 
 from gypsumlock.mesh.link_meter import LinkMeter
+from gypsumlock.mesh.turn_queue import TurnQueue
 
 __all__ = ["CHUNK_BYTES", "Pacer", "split_into_chunks"]
 
@@ -40,16 +34,6 @@
         yield body[start : start + CHUNK_BYTES]
 
 
-@dataclass(order=True, slots=True)
-class _Turn:
-    """A sender that waits for its turn; ordered by rank, target and arrival."""
-
-    rank: int
-    target_at_s: float
-    arrival: int
-    granted: asyncio.Future[None] = field(compare=False)
-
-
 class Pacer:
     """Grants turns on the machine's network link for chunks of large responses.
 
@@ -59,13 +43,12 @@
         Estimates the backlog of the link.
     """
 
-    __slots__ = ("_arrivals", "_loop", "_meter", "_pending_bytes", "_timer", "_turns")
+    __slots__ = ("_loop", "_meter", "_pending_bytes", "_timer", "_turns")
 
     def __init__(self, meter: LinkMeter) -> None:
         self._meter = meter
         self._loop = asyncio.get_running_loop()
-        self._turns: list[_Turn] = []
-        self._arrivals = itertools.count()
+        self._turns = TurnQueue()
         # Bytes of responses that will be written to the link.
         self._pending_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
@@ -101,12 +84,10 @@
         """
         if not self._turns and self._excess_backlog_s() <= 0:
             return
-        turn = _Turn(
-            rank, target_at_s, next(self._arrivals), self._loop.create_future()
-        )
-        heapq.heappush(self._turns, turn)
+        granted: asyncio.Future[None] = self._loop.create_future()
+        self._turns.push(rank, target_at_s, granted)
         self._schedule_turn()
-        await turn.granted
+        await granted
 
     def _excess_backlog_s(self) -> float:
         """Return the time until another chunk may be written, in seconds.
@@ -125,10 +106,8 @@
 
     def _grant_turn(self) -> None:
         self._timer = None
-        while self._turns and self._excess_backlog_s() <= 0:
-            turn = heapq.heappop(self._turns)
-            # A sender that was cancelled in the meantime gets no turn.
-            if not turn.granted.done():
+        if self._excess_backlog_s() <= 0:
+            turn = self._turns.pop()
+            if turn is not None:
                 turn.granted.set_result(None)
-                break
         self._schedule_turn()
--- a/misc/mesh_mutations.py
+++ b/misc/mesh_mutations.py
@@ -328,4 +328,19 @@
         "pass",
         f"{_MESH_CALLS}.TestLeaving.test_stopping_node_shortens_deadlines",
     ),
+    Mutation(
+        "mesh: lower ranks keep a share of a link that is full",
+        "gypsumlock/mesh/turn_queue.py",
+        "if lower_ranks and self._turns_of_highest_rank >= LOWER_RANK_INTERVAL:",
+        "if False:",
+        "tests.test_mesh_pacer.TestRanksOnFullLink.test_lower_rank_is_sent_in_time",
+    ),
+    Mutation(
+        "mesh: lower ranks keep a small share of the link only",
+        "gypsumlock/mesh/turn_queue.py",
+        "LOWER_RANK_INTERVAL = 8",
+        "LOWER_RANK_INTERVAL = 2",
+        "tests.test_mesh_pacer.TestRanksOnFullLink."
+        "test_most_of_the_link_goes_to_the_higher_rank",
+    ),
 )
--- a/tests/test_mesh_pacer.py
+++ b/tests/test_mesh_pacer.py
@@ -6,8 +6,13 @@
 import unittest
 from unittest import mock
 
-from gypsumlock.mesh.link_meter import BYTES_PER_MEGABIT, LinkMeter
-from gypsumlock.mesh.pacer import CHUNK_BYTES, Pacer, split_into_chunks
+from gypsumlock.mesh.link_meter import BYTES_PER_MEGABIT, LinkMeter, usable_mbps
+from gypsumlock.mesh.pacer import (
+    CHUNK_BYTES,
+    MAX_BACKLOG_S,
+    Pacer,
+    split_into_chunks,
+)
 from tests.standins.mesh_fleet import MeshFleet, make_config
 from tests.standins.mesh_upstream import (
     Behaviour,
@@ -15,6 +20,7 @@
     ReceivedCall,
     encode_response,
 )
+from tests.standins.simulated_clock import run_simulated
 
 # 0.5 megabytes per second.
 LINK_MBPS = 4.0
@@ -103,6 +109,103 @@
         self.assertLess(self.loop.time() - started_at_s, 0.1)
 
 
+class TestRanksOnFullLink(unittest.TestCase):
+    """Downloads ask for more than a link carries, for ten seconds.
+
+    The load is that of a machine of the users' grown fleet: answers of 20 kB behind
+    downloads of 280 kB, which are more urgent by a rank.
+    """
+
+    LINK_MBPS = usable_mbps(10.5)
+    DOWNLOAD_BYTES = 280_000
+    ANSWER_BYTES = 20_000
+    # Demand of the downloads, in units of the link's bandwidth.
+    DEMAND = 1.1
+    DURATION_S = 10.0
+    # Latency targets of the users' routes, in seconds.
+    DOWNLOAD_TARGET_S = 1.48
+    ANSWER_TARGET_S = 5.166
+
+    async def send(
+        self,
+        pacer: Pacer,
+        meter: LinkMeter,
+        size_bytes: int,
+        rank: int,
+        target_s: float,
+    ) -> float:
+        """Send an answer in chunks; return the time that it took, in seconds."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        for chunk in split_into_chunks(bytes(size_bytes)):
+            await pacer.wait_turn(rank, began_s + target_s)
+            meter.record_write(len(chunk), loop.time())
+        return loop.time() + meter.backlog_s(loop.time()) - began_s
+
+    async def play(self, rank: int, interval_s: float) -> tuple[list[float], int]:
+        """Return the times of answers of a rank, and the number of sent downloads."""
+        meter = LinkMeter(self.LINK_MBPS)
+        pacer = Pacer(meter)
+        loop = asyncio.get_running_loop()
+        downloads: list[asyncio.Task[float]] = []
+        answers: list[asyncio.Task[float]] = []
+        download_interval_s = meter.transmission_s(self.DOWNLOAD_BYTES) / self.DEMAND
+
+        async def start_answers() -> None:
+            await asyncio.sleep(2.0)
+            while loop.time() < self.DURATION_S:
+                answers.append(
+                    loop.create_task(
+                        self.send(
+                            pacer, meter, self.ANSWER_BYTES, rank, self.ANSWER_TARGET_S
+                        )
+                    )
+                )
+                await asyncio.sleep(interval_s)
+
+        starting = loop.create_task(start_answers())
+        while loop.time() < self.DURATION_S:
+            downloads.append(
+                loop.create_task(
+                    self.send(
+                        pacer, meter, self.DOWNLOAD_BYTES, 1, self.DOWNLOAD_TARGET_S
+                    )
+                )
+            )
+            await asyncio.sleep(download_interval_s)
+        await starting
+        sent = sum(download.done() for download in downloads)
+        took_s = [
+            answer.result() if answer.done() else float("inf") for answer in answers
+        ]
+        await asyncio.gather(*downloads, *answers)
+        # The answers of the last seconds had too little time.
+        before_end = int((self.DURATION_S - 2.0 - self.ANSWER_TARGET_S) / interval_s)
+        return took_s[:before_end], sent
+
+    # Answers that were ready seconds before their node stopped never left (review/2).
+    def test_lower_rank_is_sent_in_time(self) -> None:
+        took_s, _ = run_simulated(self.play(rank=2, interval_s=0.3))
+        self.assertGreater(len(took_s), 5)
+        self.assertLess(max(took_s), self.ANSWER_TARGET_S)
+
+    def test_most_of_the_link_goes_to_the_higher_rank(self) -> None:
+        _, alone = run_simulated(self.play(rank=2, interval_s=100.0))
+        _, shared = run_simulated(self.play(rank=2, interval_s=0.05))
+        self.assertGreater(shared, 0.8 * alone)
+
+    def test_urgent_answer_waits_for_one_more_chunk_at_most(self) -> None:
+        took_s, _ = run_simulated(self.play(rank=0, interval_s=0.5))
+        meter = LinkMeter(self.LINK_MBPS)
+        chunk_s = meter.transmission_s(CHUNK_BYTES)
+        # The backlog that is allowed, the chunk that was written on top of it, and the
+        # answer itself.
+        alone_s = MAX_BACKLOG_S + chunk_s + meter.transmission_s(self.ANSWER_BYTES)
+        # A turn is granted half a chunk after the link is free for it.
+        turns_s = 3 * chunk_s / 2
+        self.assertLess(max(took_s), alone_s + turns_s + chunk_s)
+
+
 def answer_with(body: bytes) -> Behaviour:
     """Return a behaviour that responds with a body."""
 
