Bound what a node keeps by the name of a route

Cause: tables by route never forgot a name, also one that another node made up: retry budgets 1.5 KB a route (60 MB after 20 versions of 2,000 routes, all called), split routes, timeouts of clients, service times here and of each other upstream, sizes of calls, latencies 0.1 to 0.3 KB each.

Change: RecentTable keeps the 1,024 names that were set last, for each of these; latencies of the 4,096 oldest seldom called routes move to the shared histogram.

Ruled out: dropping what a version drops, as names from other nodes belong to no version; cachetools, one more library in each process for ten lines.

--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -33,6 +33,7 @@
     Refusal,
 )
 from gypsumlock.mesh.placement import CallProfile, UpstreamSelector, UpstreamView
+from gypsumlock.mesh.recent_table import RecentTable
 from gypsumlock.mesh.retry_budget import RetryBudgets
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.metrics import Metrics
@@ -106,7 +107,7 @@
         self._classifier = CallClassifier(state)
         self._retry_budgets = RetryBudgets(state.bounds.retry_window_s)
         # Mean total size of request and response by route, in bytes.
-        self._mean_call_bytes: dict[str, float] = {}
+        self._mean_call_bytes: RecentTable[str, float] = RecentTable()
         # Of the calls in progress.
         self._timeouts: set[asyncio.Timeout] = set()
 
--- a/gypsumlock/mesh/load_estimates.py
+++ b/gypsumlock/mesh/load_estimates.py
@@ -7,6 +7,8 @@
 
 import math
 
+from gypsumlock.mesh.recent_table import RecentTable
+
 __all__ = [
     "DEMAND_WINDOW_S",
     "INITIAL_SERVICE_S",
@@ -37,8 +39,8 @@
     __slots__ = ("_deviation_s", "_mean_s", "overall_mean_s")
 
     def __init__(self) -> None:
-        self._mean_s: dict[str, float] = {}
-        self._deviation_s: dict[str, float] = {}
+        self._mean_s: RecentTable[str, float] = RecentTable()
+        self._deviation_s: RecentTable[str, float] = RecentTable()
         self.overall_mean_s = INITIAL_SERVICE_S
 
     def record(self, route: str, service_s: float) -> None:
--- a/gypsumlock/mesh/placement.py
+++ b/gypsumlock/mesh/placement.py
@@ -14,6 +14,7 @@
 from gypsumlock.mesh.link_meter import BYTES_PER_MEGABIT, usable_mbps
 from gypsumlock.mesh.model import OwnerLoad, RouteSpec
 from gypsumlock.mesh.pacer import CHUNK_BYTES
+from gypsumlock.mesh.recent_table import RecentTable
 
 __all__ = ["CallProfile", "UpstreamSelector", "UpstreamView"]
 
@@ -85,7 +86,7 @@
     # Delay until the probe that the next ejection schedules, in seconds.
     probe_backoff_s: float = INITIAL_PROBE_BACKOFF_S
     # Mean service time by route as its owner reports it, in seconds.
-    service_s: dict[str, float] = field(default_factory=dict)
+    service_s: RecentTable[str, float] = field(default_factory=RecentTable)
 
     def record_load(self, route: str, load: OwnerLoad, now_s: float) -> None:
         """Record a load report from the owner, the node beside the upstream."""
--- a/gypsumlock/mesh/request_age.py
+++ b/gypsumlock/mesh/request_age.py
@@ -15,6 +15,8 @@
 
 from dataclasses import dataclass
 
+from gypsumlock.mesh.recent_table import RecentTable
+
 __all__ = ["RequestAgeEstimator"]
 
 # Time for which the longest timeout of a route is remembered, in seconds.
@@ -62,7 +64,7 @@
     __slots__ = ("_timeouts",)
 
     def __init__(self) -> None:
-        self._timeouts: dict[str, _RouteTimeouts] = {}
+        self._timeouts: RecentTable[str, _RouteTimeouts] = RecentTable()
 
     def age_s(self, route: str, timeout_s: float, now_s: float) -> float:
         """Return the time that a client has already waited, in seconds.
@@ -76,13 +78,14 @@
         now_s : float
             Monotonic time.
         """
-        seen = self._timeouts.get(route)
+        seen = self._timeouts.get(route, None)
         if seen is None or now_s - seen.longest_seen_at_s > LONGEST_TIMEOUT_TTL_S:
             # Until more is known, as many attempts as possible count as first ones.
             self._timeouts[route] = _RouteTimeouts(
                 timeout_s, now_s, _lowest_boundary_s(timeout_s)
             )
             return 0.0
+        self._timeouts[route] = seen
         if timeout_s > OUTLIER_FACTOR * seen.longest_s:
             return 0.0
         if timeout_s >= seen.longest_s:
--- a/gypsumlock/mesh/retry_budget.py
+++ b/gypsumlock/mesh/retry_budget.py
@@ -15,6 +15,8 @@
 
 from collections import deque
 
+from gypsumlock.mesh.recent_table import RecentTable
+
 __all__ = ["RetryBudgets"]
 
 # Share of the limit that nodes use. The rest is a margin for runs that make more nested
@@ -60,7 +62,7 @@
     def __init__(self, window_s: float) -> None:
         self._window_s = window_s
         self._by_service: dict[str, _Attempts] = {}
-        self._by_route: dict[str, _Attempts] = {}
+        self._by_route: RecentTable[str, _Attempts] = RecentTable()
 
     def record_first_attempt(self, service: str, route: str, now_s: float) -> None:
         """Count the first attempt of a call that was sent to an upstream.
@@ -110,7 +112,8 @@
     ) -> tuple[_Attempts, _Attempts]:
         """Return the attempts in the window, of a service and of a route."""
         by_service = self._by_service.setdefault(service, _Attempts())
-        by_route = self._by_route.setdefault(route, _Attempts())
+        by_route = self._by_route.get(route, None) or _Attempts()
+        self._by_route[route] = by_route
         for attempts in (by_service, by_route):
             attempts.expire(now_s - self._window_s)
         return by_service, by_route
--- a/gypsumlock/mesh/weighted_round_robin.py
+++ b/gypsumlock/mesh/weighted_round_robin.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from gypsumlock.mesh.model import RouteSpec, ServiceShare
+from gypsumlock.mesh.recent_table import RecentTable
 
 __all__ = ["WeightedRoundRobin"]
 
@@ -17,18 +18,18 @@
     __slots__ = ("_current_weights",)
 
     def __init__(self) -> None:
-        self._current_weights: dict[
+        self._current_weights: RecentTable[
             tuple[str, tuple[ServiceShare, ...]], list[float]
-        ] = {}
+        ] = RecentTable()
 
     def choose_service(self, route: RouteSpec) -> str:
         """Return the service for the next call of a route."""
         shares = route.shares
         if len(shares) == 1:
             return shares[0].service
-        current = self._current_weights.setdefault(
-            (route.name, shares), [0.0] * len(shares)
-        )
+        key = (route.name, shares)
+        current = self._current_weights.get(key, None) or [0.0] * len(shares)
+        self._current_weights[key] = current
         total_weight = 0.0
         for index, share in enumerate(shares):
             current[index] += share.weight
--- a/gypsumlock/metrics/metrics.py
+++ b/gypsumlock/metrics/metrics.py
@@ -2,7 +2,8 @@
 
 A configuration has thousands of routes, of which most are seldom called. The memory
 for their latencies is bounded: a route has a histogram of its own only if it is called
-often, and only the first such routes have one.
+often, and only the first such routes have one. Of the other routes only those called
+last are kept apart.
 """
 
 from __future__ import annotations
@@ -23,6 +24,8 @@
 SIGNIFICANT_DIGITS: Final = 2
 # Values that a label has before they move to a histogram, which takes some 25 KB.
 MAX_SINGLE_VALUES: Final = 32
+# Labels with single values. Those of the oldest go to the shared histogram after that.
+MAX_SINGLE_LABELS: Final = 4096
 # Labels with a histogram of their own. Others share one after that.
 MAX_HISTOGRAMS: Final = 100
 SHARED_LABEL: Final = "(other)"
@@ -75,13 +78,14 @@
         values_us = self._single_values_us.setdefault(label, array("L"))
         values_us.append(value_us)
         if len(values_us) >= MAX_SINGLE_VALUES:
-            self._move_to_histogram(label)
-
-    def _move_to_histogram(self, label: str) -> None:
-        """Move the values of a label to a histogram, its own if there is room."""
-        values_us = self._single_values_us.pop(label)
-        if len(self._latencies) >= MAX_HISTOGRAMS:
-            label = SHARED_LABEL
+            has_room = len(self._latencies) < MAX_HISTOGRAMS
+            self._move_to_histogram(label, label if has_room else SHARED_LABEL)
+        elif len(self._single_values_us) > MAX_SINGLE_LABELS:
+            self._move_to_histogram(next(iter(self._single_values_us)), SHARED_LABEL)
+
+    def _move_to_histogram(self, moved_label: str, label: str) -> None:
+        """Move the single values of one label to the histogram of another."""
+        values_us = self._single_values_us.pop(moved_label)
         if label not in self._latencies:
             self._latencies[label] = _new_histogram()
         _record_all(self._latencies[label], values_us)
--- a/misc/report_mutations.py
+++ b/misc/report_mutations.py
@@ -332,4 +332,18 @@
         "MAX_END_MARGIN_SHARE = 0.3",
         f"{_STOP}.test_calls_from_before_the_stop_get_an_answer",
     ),
+    Mutation(
+        "reports: what is kept by a name from outside is bounded",
+        "gypsumlock/mesh/recent_table.py",
+        "if len(values) > self._max_names:",
+        "if False:",
+        "tests.test_names_from_outside.TestTablesByRoute.test_retry_budgets",
+    ),
+    Mutation(
+        "reports: latencies of seldom called routes are bounded",
+        "gypsumlock/metrics/metrics.py",
+        "elif len(self._single_values_us) > MAX_SINGLE_LABELS:",
+        "elif False:",
+        "tests.test_names_from_outside.TestTablesByRoute.test_latencies",
+    ),
 )
