Ignore SIGHUP until the settings are watched

Change: the signal is ignored from the first line of the entry point on. The settings are read after that.

Left: the start of the interpreter itself, some 0.02 s.

--- a/gypsumlock/platform/__main__.py
+++ b/gypsumlock/platform/__main__.py
@@ -4,8 +4,12 @@
 
 import gc
 import os
+import signal
 import sys
 
+# The settings are read later than this, so that a change that is signalled before is
+# seen; without a handler the signal would end the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 # What the imports allocate lives as long as the process; collections that look through
 # it only make the start longer.
 gc.disable()
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -124,6 +124,16 @@
         self.assertEqual((await self.node_one.call(5)).status, 200)
         self.assertIn("settings refused", self.node_one.log_path.read_text())
 
+    # The default action of the signal ended a process that had just started.
+    async def test_reload_signal_during_the_start_is_no_end(self) -> None:
+        for delay_s in (0.05, 0.1, 0.2, 0.3):
+            self.node_one.send_signal(signal.SIGKILL)
+            await self.node_one.wait_for_exit(5.0)
+            self.node_one.start_process()
+            await asyncio.sleep(delay_s)
+            self.node_one.send_signal(signal.SIGHUP)
+            await wait_until(self.node_one.is_ready)
+
     async def test_reloaded_service_is_sent_to_upstreams(self) -> None:
         self.node_one.service = "renamed"
         self.node_one.write_settings()
