Acknowledge no departure that was not applied

Cause: a heartbeat was acknowledged whether or not it was applied.

Change: a heartbeat that announces a departure which the node doesn't hold afterwards gets a 503. The upstream asks again, and exits later.

Open: the heartbeats of such an upstream are still ignored; a late heartbeat and a clock set back can't be told apart by a single one.

Evidence: test_draining_that_is_not_applied_is_not_acknowledged failed before.

--- a/gypsumlock/platform/endpoints.py
+++ b/gypsumlock/platform/endpoints.py
@@ -178,6 +178,11 @@
                 sequence=heartbeat.sequence,
             )
             self._on_change()
+        registry = self._state.registry
+        if heartbeat.leaving and registry.departure_of(instance) is None:
+            # Taken for a late one of an earlier start, as after a step of the clock.
+            log.warning("departure not applied", instance=instance)
+            return STATUS_UNAVAILABLE
         return STATUS_OK
 
     def _process_deregistration(self, instance: str, body: bytes) -> int:
--- a/misc/report_mutations.py
+++ b/misc/report_mutations.py
@@ -346,4 +346,19 @@
         "elif False:",
         "tests.test_names_from_outside.TestTablesByRoute.test_latencies",
     ),
+    Mutation(
+        "reports: a departure that is not applied is not acknowledged",
+        "gypsumlock/platform/endpoints.py",
+        "if heartbeat.leaving and registry.departure_of(instance) is None:",
+        "if False:",
+        f"{_DEPARTURE}.test_draining_that_is_not_applied_is_not_acknowledged",
+    ),
+    Mutation(
+        "platform: a reload signal during the start ends no process",
+        "gypsumlock/platform/__main__.py",
+        "signal.signal(signal.SIGHUP, signal.SIG_IGN)",
+        "pass",
+        "tests.test_platform_process.TestPlatformProcess."
+        "test_reload_signal_during_the_start_is_no_end",
+    ),
 )
--- a/tests/test_departure_ack.py
+++ b/tests/test_departure_ack.py
@@ -82,6 +82,12 @@
         incarnation = self.host.node.state.registry.current
         self.assertTrue(incarnation is None or incarnation.leaving)
 
+    # The upstream stopped work on calls that its node went on to send.
+    async def test_draining_that_is_not_applied_is_not_acknowledged(self) -> None:
+        body = {"address": self.host.upstream.address, **DRAINING, "born": 400}
+        self.assertEqual(await self.send("Heartbeat", body), 503)
+        self.assertEqual((await self.fleet.call(self.host)).status, 200)
+
     # One odd heartbeat took the upstream out of use.
     async def test_heartbeat_of_an_unknown_service_is_rejected(self) -> None:
         odd = {
