--- a/misc/report_mutations.py
+++ b/misc/report_mutations.py
@@ -332,4 +332,33 @@
         "MAX_END_MARGIN_SHARE = 0.3",
         f"{_STOP}.test_calls_from_before_the_stop_get_an_answer",
     ),
+    Mutation(
+        "reports: what is kept by a name from outside is bounded",
+        "gypsumlock/mesh/recent_table.py",
+        "if len(values) > self._max_names:",
+        "if False:",
+        "tests.test_names_from_outside.TestTablesByRoute.test_retry_budgets",
+    ),
+    Mutation(
+        "reports: latencies of seldom called routes are bounded",
+        "gypsumlock/metrics/metrics.py",
+        "elif len(self._single_values_us) > MAX_SINGLE_LABELS:",
+        "elif False:",
+        "tests.test_names_from_outside.TestTablesByRoute.test_latencies",
+    ),
+    Mutation(
+        "reports: a departure that is not applied is not acknowledged",
+        "gypsumlock/platform/endpoints.py",
+        "if heartbeat.leaving and registry.departure_of(instance) is None:",
+        "if False:",
+        f"{_DEPARTURE}.test_draining_that_is_not_applied_is_not_acknowledged",
+    ),
+    Mutation(
+        "platform: a reload signal during the start ends no process",
+        "gypsumlock/platform/__main__.py",
+        "signal.signal(signal.SIGHUP, signal.SIG_IGN)",
+        "pass",
+        "tests.test_platform_process.TestPlatformProcess."
+        "test_reload_signal_during_the_start_is_no_end",
+    ),
 )
