Move messages and heads of the server to a module of their own

Requests and the encoding of response heads are in http_messages.py, one function for the heads of responses and of rejections, which stood twice. Tests share one behaviour that answers with a body. No behaviour changed.

--- a/gypsumlock/mesh/call_classifier.py
+++ b/gypsumlock/mesh/call_classifier.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from gypsumlock.http_headers import Headers, has_conflict
-from gypsumlock.mesh.http_server import HttpRequest
+from gypsumlock.mesh.http_messages import HttpRequest
 from gypsumlock.mesh.http_text import forwardable_headers
 from gypsumlock.mesh.model import Answer, RouteSpec
 from gypsumlock.mesh.request_age import RequestAgeEstimator
--- a/gypsumlock/mesh/call_responder.py
+++ b/gypsumlock/mesh/call_responder.py
@@ -10,7 +10,8 @@
 from gypsumlock.http_headers import Headers
 from gypsumlock.logs import Component, get_logger
 from gypsumlock.mesh.call_classifier import Call
-from gypsumlock.mesh.http_server import HttpRequest, ServerConnection
+from gypsumlock.mesh.http_messages import HttpRequest
+from gypsumlock.mesh.http_server import ServerConnection
 from gypsumlock.metrics import Metrics
 from gypsumlock.result_codes import ResultCode, get_code_entry
 
--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -23,7 +23,8 @@
 from gypsumlock.mesh.call_classifier import Call, CallClassifier
 from gypsumlock.mesh.call_responder import CallResponder
 from gypsumlock.mesh.directory import UpstreamDirectory
-from gypsumlock.mesh.http_server import HttpHandler, HttpRequest, ServerConnection
+from gypsumlock.mesh.http_messages import HttpRequest
+from gypsumlock.mesh.http_server import HttpHandler, ServerConnection
 from gypsumlock.mesh.model import (
     Answer,
     CallOutcome,
--- a/gypsumlock/mesh/http_server.py
+++ b/gypsumlock/mesh/http_server.py
@@ -18,6 +18,11 @@
 import httptools
 
 from gypsumlock.http_headers import Headers, find_header
+from gypsumlock.mesh.http_messages import (
+    HttpRequest,
+    encode_rejection,
+    encode_response_head,
+)
 from gypsumlock.mesh.memory_account import MemoryAccount
 from gypsumlock.mesh.model import ClientLimits
 from gypsumlock.mesh.write_buffer import (
@@ -26,62 +31,17 @@
     write_with_head,
 )
 
-__all__ = ["CallServer", "HttpHandler", "HttpRequest", "ServerConnection"]
-
-REASON_PHRASES = {
-    100: b"Continue",
-    200: b"OK",
-    400: b"Bad Request",
-    404: b"Not Found",
-    408: b"Request Timeout",
-    413: b"Content Too Large",
-    421: b"Misdirected Request",
-    429: b"Too Many Requests",
-    431: b"Request Header Fields Too Large",
-    500: b"Internal Server Error",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-}
+__all__ = ["CallServer", "HttpHandler", "ServerConnection"]
+
 # Requests of one connection that may wait while another one is handled.
 MAX_PIPELINED_REQUESTS = 16
 LISTEN_BACKLOG = 1024
-# Retry-After of a request whose body can't be held now, in seconds.
-NO_MEMORY_RETRY_AFTER_S = 1
 # Time for which a stopping node leaves an idle connection open, in seconds.
 MIN_IDLE_S = 0.2
 # Limits that apply until a configuration is known.
 DEFAULT_LIMITS = ClientLimits(16_384, 67_108_864, 5.0, 60.0)
 
 
-class HttpRequest:
-    """One complete request."""
-
-    __slots__ = ("body", "headers", "keep_alive", "method", "received_s", "target")
-
-    def __init__(
-        self,
-        method: bytes,
-        target: bytes,
-        headers: Headers,
-        body: bytes,
-        keep_alive: bool,
-        received_s: float,
-    ) -> None:
-        self.method = method
-        self.target = target
-        # Names are in lower case.
-        self.headers = headers
-        self.body = body
-        self.keep_alive = keep_alive
-        # Monotonic time at which the request was complete.
-        self.received_s = received_s
-
-    def header(self, name: bytes) -> bytes | None:
-        """Return the first value of a header, or None."""
-        return find_header(self.headers, name)
-
-
 class HttpHandler(ABC):
     """Handles requests, each in a task of its own."""
 
@@ -325,13 +285,8 @@
             return
         is_last = self._server.closing and not self._pipelined
         close_connection = is_last or not request.keep_alive
-        reason = REASON_PHRASES.get(status, b"Status")
-        lines = [b"HTTP/1.1 %d %b\r\n" % (status, reason)]
-        lines.extend([b"%b: %b\r\n" % header for header in headers])
-        if status >= 200 and status not in (204, 304):
-            lines.append(b"content-length: %d\r\n" % len(body))
-        lines.append(b"connection: close\r\n\r\n" if close_connection else b"\r\n")
-        self._write(b"".join(lines), b"" if request.method == b"HEAD" else body)
+        head = encode_response_head(status, headers, len(body), close_connection)
+        self._write(head, b"" if request.method == b"HEAD" else body)
         self._finish_response(close_connection)
 
     def close_if_idle(self) -> None:
@@ -388,11 +343,7 @@
         self._release(len(self._body))
         self._body = bytearray()
         if self._current is None and self._transport is not None:
-            lines = [b"HTTP/1.1 %d %b\r\n" % (status, REASON_PHRASES[status])]
-            if status == 503:
-                lines.append(b"retry-after: %d\r\n" % NO_MEMORY_RETRY_AFTER_S)
-            lines.append(b"content-length: 0\r\nconnection: close\r\n\r\n")
-            self._write(b"".join(lines))
+            self._write(encode_rejection(status))
             self._transport.close()
         elif self._current is not None:
             # The connection closes after the response in progress.
--- a/gypsumlock/platform/endpoints.py
+++ b/gypsumlock/platform/endpoints.py
@@ -22,7 +22,8 @@
     TimestampMs,
     is_identifier,
 )
-from gypsumlock.mesh.http_server import HttpHandler, HttpRequest, ServerConnection
+from gypsumlock.mesh.http_messages import HttpRequest
+from gypsumlock.mesh.http_server import HttpHandler, ServerConnection
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.mesh.upstream_registry import Departure, Heartbeat
 from gypsumlock.metrics import Metrics
--- a/tests/standins/mesh_fleet.py
+++ b/tests/standins/mesh_fleet.py
@@ -11,7 +11,8 @@
 from result import Ok, Result
 
 from gypsumlock.mesh.config_watcher import ConfigWatcher
-from gypsumlock.mesh.http_server import HttpHandler, HttpRequest, ServerConnection
+from gypsumlock.mesh.http_messages import HttpRequest
+from gypsumlock.mesh.http_server import HttpHandler, ServerConnection
 from gypsumlock.mesh.model import (
     ClientLimits,
     HeaderNames,
--- a/tests/standins/mesh_upstream.py
+++ b/tests/standins/mesh_upstream.py
@@ -184,6 +184,17 @@
     writer.close()
 
 
+def answer_with(body: bytes) -> Behaviour:
+    """Return a behaviour that responds with a body."""
+
+    async def respond(
+        upstream: MeshUpstream, call: ReceivedCall, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(encode_response(call, body=body))
+
+    return respond
+
+
 async def answer_with_garbage(
     upstream: MeshUpstream, call: ReceivedCall, writer: asyncio.StreamWriter
 ) -> None:
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -23,12 +23,8 @@
 from result import Err
 
 from gypsumlock.mesh.feed_store import FeedRow
-from gypsumlock.mesh.http_server import (
-    CallServer,
-    HttpHandler,
-    HttpRequest,
-    ServerConnection,
-)
+from gypsumlock.mesh.http_messages import HttpRequest
+from gypsumlock.mesh.http_server import CallServer, HttpHandler, ServerConnection
 from gypsumlock.result_codes import ResultCode
 from tests.standins.feed_store import MemoryFeedStore
 from tests.standins.mesh_fleet import free_address
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -11,12 +11,7 @@
 from gypsumlock.mesh.model import ClientLimits
 from gypsumlock.mesh.peer_server import InboundConnection
 from tests.standins.mesh_fleet import MeshFleet, MeshHost, make_config
-from tests.standins.mesh_upstream import (
-    Behaviour,
-    MeshUpstream,
-    ReceivedCall,
-    encode_response,
-)
+from tests.standins.mesh_upstream import answer_with
 from tests.test_field_checks import make_messages
 from tests.test_memory_bounds import RecordingTransport
 
@@ -27,17 +22,6 @@
 LINK_MBPS = 4.0
 
 
-def respond_with(body: bytes) -> Behaviour:
-    """Return a behaviour that answers with a body."""
-
-    async def respond(
-        upstream: MeshUpstream, call: ReceivedCall, writer: asyncio.StreamWriter
-    ) -> None:
-        writer.write(encode_response(call, body=body))
-
-    return respond
-
-
 class TestMemoryAccount(unittest.TestCase):
     """Limits of each kind of body, and of all together."""
 
@@ -169,7 +153,7 @@
     async def test_answers_that_wait_for_the_link_are_bounded(self) -> None:
         memory = self.far.node.state.memory
         script = self.far.upstream.script
-        script.extend(respond_with(bytes(6 * MEGABYTE)) for _ in range(20))
+        script.extend(answer_with(bytes(6 * MEGABYTE)) for _ in range(20))
         # Each call uses a route whose answers have no known size yet.
         calls = []
         for _ in range(20):
@@ -195,7 +179,7 @@
         await self.fleet.wait_until_ready(upstreams=1)
         memory = self.near.node.state.memory
         self.near.upstream.script.extend(
-            respond_with(bytes(6 * MEGABYTE)) for _ in range(20)
+            answer_with(bytes(6 * MEGABYTE)) for _ in range(20)
         )
         writers = []
         for number in range(20):
--- a/tests/test_memory_bounds.py
+++ b/tests/test_memory_bounds.py
@@ -15,12 +15,8 @@
 )
 from gypsumlock.mesh.feed_messages import ConfigSnapshot, unpack_config
 from gypsumlock.mesh.frames import AnswerChunk
-from gypsumlock.mesh.http_server import (
-    CallServer,
-    HttpHandler,
-    HttpRequest,
-    ServerConnection,
-)
+from gypsumlock.mesh.http_messages import HttpRequest
+from gypsumlock.mesh.http_server import CallServer, HttpHandler, ServerConnection
 from gypsumlock.mesh.link_meter import LinkMeter
 from gypsumlock.mesh.memory_account import ByteBudget
 from gypsumlock.mesh.model import OwnerLoad
--- a/tests/test_mesh_pacer.py
+++ b/tests/test_mesh_pacer.py
@@ -14,12 +14,7 @@
     split_into_chunks,
 )
 from tests.standins.mesh_fleet import MeshFleet, make_config
-from tests.standins.mesh_upstream import (
-    Behaviour,
-    MeshUpstream,
-    ReceivedCall,
-    encode_response,
-)
+from tests.standins.mesh_upstream import answer_with
 from tests.standins.simulated_clock import run_simulated
 
 # 0.5 megabytes per second.
@@ -206,17 +201,6 @@
         self.assertLess(max(took_s), alone_s + turns_s + chunk_s)
 
 
-def answer_with(body: bytes) -> Behaviour:
-    """Return a behaviour that responds with a body."""
-
-    async def respond(
-        upstream: MeshUpstream, call: ReceivedCall, writer: asyncio.StreamWriter
-    ) -> None:
-        writer.write(encode_response(call, body=body))
-
-    return respond
-
-
 class TestLowBandwidthLink(unittest.IsolatedAsyncioTestCase):
     """Calls between nodes whose links have low bandwidth."""
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -15,12 +15,8 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from gypsumlock.mesh.http_server import (
-    CallServer,
-    HttpHandler,
-    HttpRequest,
-    ServerConnection,
-)
+from gypsumlock.mesh.http_messages import HttpRequest
+from gypsumlock.mesh.http_server import CallServer, HttpHandler, ServerConnection
 from gypsumlock.platform.config import decode_config
 from gypsumlock.platform.endpoints import decode_heartbeat
 from gypsumlock.platform.settings import parse_settings
