Notice at once that the store's open connections went silent

Change: a call without an answer drops the other open connections too, and a reader whose first call fails tries again at once. In an outage that is one call more for each reader.

Ruled out: shorter timeouts, as a store that is slow for a while would be given up.

Evidence: TestSilentConnections (three pooled connections went silent) and TestFirstRetry, both failed before. The time until a version is in force on the users' platform was not measured.

--- a/gypsumlock/mesh/table_watcher.py
+++ b/gypsumlock/mesh/table_watcher.py
@@ -155,6 +155,9 @@
         if self._cursor.reachable:
             self._cursor.reachable = False
             log.warning("store unreachable", table=self._table, reason=fault.text())
+            if self._feed.is_reader:
+                # Perhaps only the connection went silent, and a new one works.
+                return
         await self._wait_before_retry()
 
     async def _wait_before_retry(self) -> None:
--- a/gypsumlock/platform/store_client.py
+++ b/gypsumlock/platform/store_client.py
@@ -198,6 +198,8 @@
             finally:
                 self._pool.release(connection)
         except (ConnectFailed, ExchangeFailed) as error:
+            # The other open connections may have gone silent with this one.
+            self._pool.clear()
             detail = f"{method} {target}: {type(error).__name__} {error}"
             return Err(Fault(ResultCode.PLATFORM_UNREACHABLE, detail))
         return Ok(response)
--- a/misc/report_mutations.py
+++ b/misc/report_mutations.py
@@ -346,6 +346,14 @@
         "elif False:",
         "tests.test_names_from_outside.TestTablesByRoute.test_latencies",
     ),
+    Mutation(
+        "platform: one silent connection to the store tells of the others",
+        "gypsumlock/platform/store_client.py",
+        "            self._pool.clear()\n            detail",
+        "            detail",
+        "tests.test_platform_adapter.TestSilentConnections."
+        "test_one_silent_connection_tells_of_the_others",
+    ),
     Mutation(
         "reports: a departure that is not applied is not acknowledged",
         "gypsumlock/platform/endpoints.py",
--- a/tests/test_mesh_feed.py
+++ b/tests/test_mesh_feed.py
@@ -6,9 +6,12 @@
 import time
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 import msgspec
+from result import Err, Result
 
+from gypsumlock.mesh.config_watcher import ConfigWatcher
 from gypsumlock.mesh.feed_messages import (
     ConfigSnapshot,
     FollowRequest,
@@ -30,6 +33,7 @@
 from gypsumlock.mesh.link_meter import BYTES_PER_MEGABIT, usable_mbps
 from gypsumlock.mesh.model import MeshConfig, ServiceShare, UpstreamRecord
 from gypsumlock.mesh.record_watcher import RECORD_RETRY_MAX_S, RECORD_TABLE
+from gypsumlock.result_codes import Fault, ResultCode
 from tests.standins.mesh_fleet import MeshFleet, MeshHost, make_config
 
 # The users' limit on the time from the acceptance of a version until it is in force.
@@ -339,3 +343,28 @@
             # A read, a wait for changes, and a write of the own row; the configuration
             # comes from another node.
             self.assertEqual(host.store.called_tables, [RECORD_TABLE] * 3)
+
+
+class TestFirstRetry(unittest.IsolatedAsyncioTestCase):
+    """A reader whose connection to the store has gone silent."""
+
+    # Readers waited up to 0.2 s before they tried a new connection.
+    async def test_reader_tries_a_new_connection_at_once(self) -> None:
+        fleet = await self.enterAsyncContext(MeshFleet())
+        fleet.configure(make_config())
+        host = await fleet.add("n-1")
+        await fleet.wait_until_ready()
+        feed = host.node.feed
+        feed.is_reader = True
+        watcher = ConfigWatcher(host.store, feed, "op", "config", self.reject)
+        fault = Fault(ResultCode.PLATFORM_UNREACHABLE, "silent")
+        with mock.patch("gypsumlock.controller.anyio.sleep") as sleep:
+            await watcher._back_off(fault)
+            self.assertFalse(feed.config_cursor.reachable)
+            sleep.assert_not_called()
+            await watcher._back_off(fault)
+            sleep.assert_called_once()
+
+    def reject(self, value: bytes) -> Result[MeshConfig, Fault]:
+        """Accept no version."""
+        return Err(Fault(ResultCode.PLATFORM_BAD_MESSAGE, ""))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import socket
 import time
@@ -308,6 +309,47 @@
             self.assertEqual(result.err_value.code, ResultCode.PLATFORM_REFUSED)
 
 
+class TestSilentConnections(unittest.IsolatedAsyncioTestCase):
+    """Open connections to the store go silent, while new ones work."""
+
+    async def asyncSetUp(self) -> None:
+        self.silent = False
+        self.connections = 0
+        # Time for the server to see that its connections were closed.
+        self.addAsyncCleanup(asyncio.sleep, 0.05)
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        self.store = PlatformStore(f"{host}:{port}")
+        self.addAsyncCleanup(self.store.close)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer the requests of a connection, unless it was open at the fault."""
+        self.connections += 1
+        opened_before_fault = not self.silent
+        body = b'{"ver": 7, "rows": []}'
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                if self.silent and opened_before_fault:
+                    continue
+                await asyncio.sleep(0.05)
+                head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
+                writer.write(head + body)
+        writer.close()
+
+    # Each open connection was found silent only by a call of its own.
+    async def test_one_silent_connection_tells_of_the_others(self) -> None:
+        await asyncio.gather(*(self.store.read_table("t") for _ in range(3)))
+        self.assertEqual(self.connections, 3)
+        self.silent = True
+        self.assertIsInstance(await self.store.wait_for_changes("t", 1, 0.2), Err)
+        async with asyncio.timeout(0.5):
+            self.assertIsInstance(await self.store.read_table("t"), Ok)
+
+
 class TestStorePartition(unittest.IsolatedAsyncioTestCase):
     """A store that doesn't respond to connection attempts."""
 
