--- a/misc/measure.py
+++ b/misc/measure.py
@@ -40,6 +40,7 @@
     measure_policies_low,
     measure_policies_urgent,
 )
+from misc.measures.memory import measure_mesh_memory  # noqa: E402
 from misc.measures.parts import measure_parts  # noqa: E402
 
 __all__ = ["MEASUREMENTS"]
@@ -49,6 +50,7 @@
 
 MEASUREMENTS: dict[str, Callable[[], Iterator[Figure]]] = {
     "parts": measure_parts,
+    "mesh_memory": measure_mesh_memory,
     "convergence": measure_convergence,
     "convergence_64": measure_convergence_64,
     "convergence_faults": measure_convergence_faults,
