--- a/gypsumlock/mesh/feed_store.py
+++ b/gypsumlock/mesh/feed_store.py
@@ -53,6 +53,10 @@
     async def read_table(self, table: str) -> Result[TableChanges, Fault]:
         """Return all rows of a table."""
 
+    @abstractmethod
+    async def read_row(self, table: str, key: str) -> Result[FeedRow, Fault]:
+        """Return one row; its version is 0 and its value None if it doesn't exist."""
+
     @abstractmethod
     async def wait_for_changes(
         self, table: str, after: int, wait_s: float
--- a/gypsumlock/mesh/field_types.py
+++ b/gypsumlock/mesh/field_types.py
@@ -27,6 +27,7 @@
     "MemorySize",
     "Number",
     "Rank",
+    "Rate",
     "Ratio",
     "Share",
     "Slots",
@@ -83,6 +84,8 @@
 # Weights are relative to the others of the same list; a ratio may exceed 1.
 Weight = Annotated[float, Meta(ge=0, le=1e9)]
 Ratio = Annotated[float, Meta(ge=0, le=1e9)]
+# Calls per second, or calls in a burst.
+Rate = Annotated[float, Meta(ge=0, le=1e9)]
 
 _IDENTIFIER_REGEX = re.compile(_IDENTIFIER)
 # Bytes of method names and header names, and of request targets.
--- a/gypsumlock/mesh/http_messages.py
+++ b/gypsumlock/mesh/http_messages.py
@@ -10,6 +10,7 @@
     100: b"Continue",
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
--- a/gypsumlock/mesh/model.py
+++ b/gypsumlock/mesh/model.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 
 import msgspec
 
@@ -20,6 +21,7 @@
     Identifier,
     Number,
     Rank,
+    Rate,
     Share,
     StatusCode,
     Text,
@@ -39,8 +41,11 @@
     "HeaderNames",
     "MeshConfig",
     "NodeAddresses",
+    "Organisation",
     "OwnerLoad",
     "Refusal",
+    "RolloutEntry",
+    "RolloutPhase",
     "RouteSpec",
     "ServiceShare",
     "ServiceSpec",
@@ -68,6 +73,10 @@
     instance_id: bytes
     # Signature of an upstream on each of its successful responses.
     signature: bytes
+    # Credentials of a client: `Bearer` followed by an API key.
+    authorization: bytes
+    # Name of the organisation that a call belongs to; set by the node.
+    organisation: bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +119,8 @@
     # Maximum number of upstreams that one client attempt may be sent to.
     max_attempts: Count
     shares: tuple[ServiceShare, ...]
+    # True if calls need no API key.
+    public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,6 +132,21 @@
     max_connections: Count
 
 
+@dataclass(frozen=True, slots=True)
+class Organisation:
+    """One organisation whose clients identify themselves by API keys."""
+
+    name: str
+    # Digests of its API keys; no node stores the keys themselves.
+    key_digests: tuple[bytes, ...] = ()
+    # Goes before the rank of the route; None if the route decides.
+    rank: Rank | None = None
+    # Quota of all nodes together: requests per second, and requests in a burst beyond
+    # that. A rate of 0 means no limit.
+    rate_per_s: Rate = 0.0
+    burst: Rate = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class ClientLimits:
     """Limits on what a client may send, and on how long it may take."""
@@ -139,6 +165,8 @@
     routes: tuple[RouteSpec, ...]
     services: tuple[ServiceSpec, ...]
     limits: ClientLimits
+    # Empty if calls need no API keys.
+    organisations: tuple[Organisation, ...] = ()
 
 
 class Departure(msgspec.Struct, frozen=True, array_like=True):
@@ -149,6 +177,42 @@
     born_ms: TimestampMs = 0
 
 
+class RolloutPhase(Enum):
+    """Phase of the roll-out of a service."""
+
+    # No roll-out; only the established version receives calls.
+    ESTABLISHED = "established"
+    # The candidate version receives a share of the calls.
+    RUNNING = "running"
+    # The candidate receives all calls; the old upstreams finish theirs.
+    FINISHING = "finishing"
+    COMPLETED = "completed"
+    ROLLED_BACK = "rolled_back"
+
+
+class RolloutEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Decision of a conductor on the versions of one service.
+
+    Of the entries for a service, the one with the highest token and then the highest
+    revision is in force.
+    """
+
+    service: Text
+    # Fencing token of the conductor's lease.
+    token: Number
+    # Number of the decision under that token.
+    revision: Number
+    # Version that the service ran before the roll-out.
+    established: Text
+    # Version that is rolled out; empty if there is none.
+    candidate: Text = ""
+    # Share of the service's calls that the candidate receives.
+    share: Share = 0.0
+    phase: RolloutPhase = RolloutPhase.ESTABLISHED
+    # Version of the store's row that holds the order; 0 if there is no order.
+    order_version: Number = 0
+
+
 class UpstreamRecord(msgspec.Struct, frozen=True, array_like=True):
     """Record that a node publishes about itself and its local upstream."""
 
@@ -173,6 +237,13 @@
     # Upstreams of this node that have departed, also earlier ones. A process that is
     # started later knows of them only from here.
     departures: tuple[Departure, ...] = ()
+    # Version of the upstream's software; empty if it was not reported.
+    version: Text = ""
+    # True once an upstream that a roll-out replaces has no call in flight, and accepts
+    # none any more.
+    retired: bool = False
+    # Decisions on roll-outs; only the conductor's record has any.
+    rollouts: tuple[RolloutEntry, ...] = ()
 
 
 class OwnerLoad(msgspec.Struct, array_like=True):
@@ -219,6 +290,8 @@
     body: bytes
     # False if the call was offered to another owner before.
     first_offer: bool = True
+    # Organisation that the call belongs to; empty for none.
+    organisation: Text = ""
 
 
 class Answer(msgspec.Struct, array_like=True, tag=2):
--- a/gypsumlock/mesh/state.py
+++ b/gypsumlock/mesh/state.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 
 from gypsumlock.mesh.link_meter import LinkMeter, usable_mbps
 from gypsumlock.mesh.memory_account import MemoryAccount
@@ -15,7 +16,13 @@
 from gypsumlock.mesh.route_table import RouteTable
 from gypsumlock.mesh.upstream_registry import UpstreamRegistry
 
-__all__ = ["MeshBounds", "MeshState"]
+__all__ = [
+    "MeshBounds",
+    "MeshState",
+    "QuotaBounds",
+    "RevocationBounds",
+    "RolloutBounds",
+]
 
 # Phases of a stop, in seconds since its request; each with the share of the grace
 # period that it takes at most.
@@ -37,14 +44,55 @@
 EXIT_MARGIN_SHARE = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaBounds:
+    """Tolerance of the quotas that all nodes share.
+
+    In any window, an organisation's calls may exceed its quota by the ratio `excess`
+    and by `allowance` calls.
+    """
+
+    window_s: float
+    excess: float
+    allowance: float
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutBounds:
+    """Bounds on the calls that a version under roll-out receives before it is judged.
+
+    It may receive `exposure_share` of a service's calls and `exposure_allowance` calls,
+    and none later than `rollback_s` seconds after it was found to be bad.
+    """
+
+    exposure_share: float
+    exposure_allowance: float
+    rollback_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class RevocationBounds:
+    """Bounds on the use of an API key after its removal.
+
+    With `strict`, a node that has had no contact with a source of configuration
+    versions for `max_delay_s` seconds refuses calls that need a key.
+    """
+
+    max_delay_s: float
+    strict: bool
+
+
 class MeshBounds:
-    """Bounds on stopping and on retries that the users of the fleet configure."""
+    """Bounds that the users of the fleet configure."""
 
     __slots__ = (
         "grace_s",
+        "quota",
         "retry_allowance",
         "retry_ratio",
         "retry_window_s",
+        "revocation",
+        "rollout",
     )
 
     def __init__(
@@ -53,6 +101,9 @@
         retry_ratio: float,
         retry_allowance: float,
         retry_window_s: float,
+        quota: QuotaBounds | None = None,
+        rollout: RolloutBounds | None = None,
+        revocation: RevocationBounds | None = None,
     ) -> None:
         # Time from a stop request to the end of the process, in seconds.
         self.grace_s = grace_s
@@ -60,6 +111,10 @@
         self.retry_ratio = retry_ratio
         self.retry_allowance = retry_allowance
         self.retry_window_s = retry_window_s
+        # None where the settings set no such bounds.
+        self.quota = quota
+        self.rollout = rollout
+        self.revocation = revocation
 
     @property
     def peer_drain_s(self) -> float:
--- a/gypsumlock/platform/names.py
+++ b/gypsumlock/platform/names.py
@@ -33,4 +33,6 @@
     not_executed=b"not-executed",
     instance_id=b"instance-id",
     signature=b"server-seal",
+    authorization=b"authorization",
+    organisation=b"tenant",
 )
--- a/gypsumlock/platform/settings.py
+++ b/gypsumlock/platform/settings.py
@@ -17,9 +17,15 @@
     Duration,
     MemorySize,
     Ratio,
+    Share,
 )
 from gypsumlock.mesh.model import NodeAddresses
-from gypsumlock.mesh.state import MeshBounds
+from gypsumlock.mesh.state import (
+    MeshBounds,
+    QuotaBounds,
+    RevocationBounds,
+    RolloutBounds,
+)
 from gypsumlock.result_codes import Fault, ResultCode
 
 __all__ = [
@@ -87,6 +93,16 @@
     # Retries that all nodes together may send per window, in addition to the ratio.
     retry_slack: Ratio
     retry_window_s: Duration
+    # Bounds on quotas, roll-outs and the removal of API keys; absent where a deployment
+    # has none of these.
+    quota_window_s: Duration | None = None
+    quota_excess: Ratio = 0.0
+    quota_slack: Ratio = 0.0
+    exposure_share: Share | None = None
+    exposure_slack: Ratio = 0.0
+    rollback_s: Duration = 0.0
+    revoke_s: Duration | None = None
+    revoke_strict: bool = False
 
 
 class _Terms(msgspec.Struct, frozen=True):
@@ -169,9 +185,32 @@
                 retry_ratio=bounds.retry_ratio,
                 retry_allowance=bounds.retry_slack,
                 retry_window_s=bounds.retry_window_s,
+                quota=_quota_bounds(bounds),
+                rollout=_rollout_bounds(bounds),
+                revocation=_revocation_bounds(bounds),
             ),
             link_mbps=settings_file.self_node.limits.link_mbps,
             memory_mb=settings_file.self_node.limits.memory_mb,
             fleet_start=settings_file.self_node.bootstrap,
         )
     )
+
+
+def _quota_bounds(bounds: _Bounds) -> QuotaBounds | None:
+    if bounds.quota_window_s is None:
+        return None
+    return QuotaBounds(bounds.quota_window_s, bounds.quota_excess, bounds.quota_slack)
+
+
+def _rollout_bounds(bounds: _Bounds) -> RolloutBounds | None:
+    if bounds.exposure_share is None:
+        return None
+    return RolloutBounds(
+        bounds.exposure_share, bounds.exposure_slack, bounds.rollback_s
+    )
+
+
+def _revocation_bounds(bounds: _Bounds) -> RevocationBounds | None:
+    if bounds.revoke_s is None:
+        return None
+    return RevocationBounds(bounds.revoke_s, bounds.revoke_strict)
--- a/gypsumlock/platform/store_client.py
+++ b/gypsumlock/platform/store_client.py
@@ -119,6 +119,21 @@
                 return Ok(TableChanges(tuple(rows), version))
             start_key = page_rows[-1].key + "\0"
 
+    async def read_row(self, table: str, key: str) -> Result[FeedRow, Fault]:
+        """Return one row; its version is 0 and its value None if it doesn't exist."""
+        query: _QueryParameters = {
+            "table": table,
+            "part": "",
+            "from": key,
+            "to": key + "\0",
+            "limit": 1,
+        }
+        response = await self._get_rows("/-/rows-get", query, 0.0)
+        if isinstance(response, Err):
+            return response
+        rows = _decode_rows(response.ok_value.rows)
+        return Ok(rows[0] if rows else FeedRow(key, None, 0))
+
     async def wait_for_changes(
         self, table: str, after: int, wait_s: float
     ) -> Result[TableChanges, Fault]:
--- a/gypsumlock/result_codes.py
+++ b/gypsumlock/result_codes.py
@@ -41,6 +41,8 @@
     CONFIG_UNKNOWN_VERSION = 40
     CONFIG_UNKNOWN_SELECTOR = 41
     CONFIG_TOO_BUSY = 42
+    CONFIG_DUPLICATE_KEY = 43
+    CONFIG_BAD_QUOTA = 44
 
     PLATFORM_UNREACHABLE = 60
     PLATFORM_REFUSED = 61
@@ -65,6 +67,9 @@
     CALL_DISABLED = 91
     CALL_UPSTREAM_REJECTED = 92
     CALL_NO_MEMORY = 93
+    CALL_UNKNOWN_KEY = 94
+    CALL_OVER_QUOTA = 95
+    CALL_QUOTA_UNAVAILABLE = 96
 
     OPERATOR_TOKEN_MISSING = 110
     OPERATOR_TOKEN_WRONG = 111
@@ -194,6 +199,18 @@
         "Correct the selector",
     ),
     _entry(_C.CONFIG_TOO_BUSY, 503, "Too many concurrent changes", "Retry"),
+    _entry(
+        _C.CONFIG_DUPLICATE_KEY,
+        422,
+        "An API key belongs to two organisations",
+        "Remove it from one of them",
+    ),
+    _entry(
+        _C.CONFIG_BAD_QUOTA,
+        422,
+        "A quota is negative or not a number",
+        "Use a number of at least 0",
+    ),
     _entry(
         _C.PLATFORM_UNREACHABLE, 503, "Platform is unreachable", "Check the platform"
     ),
@@ -285,6 +302,24 @@
         "The node holds too many bytes of other calls",
         "Send smaller bodies, or give the node more memory",
     ),
+    _entry(
+        _C.CALL_UNKNOWN_KEY,
+        401,
+        "The call has no valid API key",
+        "Use a key of the configuration in force",
+    ),
+    _entry(
+        _C.CALL_OVER_QUOTA,
+        429,
+        "The organisation is over its quota",
+        "Send fewer calls, or raise its quota",
+    ),
+    _entry(
+        _C.CALL_QUOTA_UNAVAILABLE,
+        503,
+        "No node that grants quota can be reached",
+        "Check the store and the connections between nodes",
+    ),
     _entry(_C.OPERATOR_TOKEN_MISSING, 401, "No operator token", "Provide the token"),
     _entry(
         _C.OPERATOR_TOKEN_WRONG, 403, "Wrong operator token", "Check the token file"
--- a/tests/standins/feed_store.py
+++ b/tests/standins/feed_store.py
@@ -59,6 +59,12 @@
             return _unreachable()
         return Ok(TableChanges(tuple(self.tables[table].values()), self.version))
 
+    async def read_row(self, table: str, key: str) -> Result[FeedRow, Fault]:
+        self.call_count += 1
+        if self.down:
+            return _unreachable()
+        return Ok(self.tables[table].get(key, FeedRow(key, None, 0)))
+
     async def wait_for_changes(
         self, table: str, after: int, wait_s: float
     ) -> Result[TableChanges, Fault]:
@@ -130,6 +136,12 @@
             _unreachable() if self.disconnected else await self._store.read_table(table)
         )
 
+    async def read_row(self, table: str, key: str) -> Result[FeedRow, Fault]:
+        self.called_tables.append(table)
+        if self.disconnected:
+            return _unreachable()
+        return await self._store.read_row(table, key)
+
     async def wait_for_changes(
         self, table: str, after: int, wait_s: float
     ) -> Result[TableChanges, Fault]:
--- a/tests/standins/mesh_fleet.py
+++ b/tests/standins/mesh_fleet.py
@@ -42,6 +42,8 @@
     b"not-executed",
     b"instance-id",
     b"server-seal",
+    b"authorization",
+    b"tenant",
 )
 LIMITS = ClientLimits(16_384, 1_000_000, 3.0, 15.0)
 READY_TIMEOUT_S = 5.0
