--- a/gypsumlock/mesh/call_classifier.py
+++ b/gypsumlock/mesh/call_classifier.py
@@ -11,7 +11,7 @@
 from gypsumlock.http_headers import Headers, has_conflict
 from gypsumlock.mesh.http_messages import HttpRequest
 from gypsumlock.mesh.http_text import forwardable_headers
-from gypsumlock.mesh.model import Answer, RouteSpec
+from gypsumlock.mesh.model import Answer, Organisation, RouteSpec
 from gypsumlock.mesh.request_age import RequestAgeEstimator
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.mesh.weighted_round_robin import WeightedRoundRobin
@@ -35,6 +35,8 @@
     headers: Headers
     target_at_s: float
     deadline_at_s: float
+    # Organisation that the call belongs to; None if it belongs to none.
+    organisation: Organisation | None = None
     # True once the call was offered to an owner.
     offered: bool = False
     # Nodes whose upstreams were sent the call, or may have been.
@@ -51,6 +53,13 @@
     fallback_answer: Answer | None = None
     refusal_code: ResultCode = ResultCode.CALL_NO_UPSTREAM
 
+    @property
+    def rank(self) -> int:
+        """Rank of the organisation, or else of the route; 0 is the most urgent."""
+        if self.organisation is None or self.organisation.rank is None:
+            return self.route.rank
+        return self.organisation.rank
+
 
 class CallClassifier:
     """Classifies the requests of one node's clients.
