Identify the organisation of a call by its API key

Change: the adapter decodes organisations, with digests in place of keys, and rejects versions with a key in two organisations, duplicate names or invalid quotas.

The rank of the organisation goes before that of the route in requests between nodes, placement and logs. Without organisations nothing changes but for empty fields at the end of two messages. Ruled out: recognising nested calls; they come from the same address as clients' calls, so that their routes have to be public.

--- a/gypsumlock/mesh/call_classifier.py
+++ b/gypsumlock/mesh/call_classifier.py
@@ -1,4 +1,4 @@
-"""Determines the route, service, latency target and deadline of client requests.
+"""Determines the route, organisation, service and deadline of client requests.
 
 A call keeps the route and the version of the table that was in force when it was
 classified.
@@ -15,6 +15,7 @@
 from gypsumlock.mesh.request_age import RequestAgeEstimator
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.mesh.weighted_round_robin import WeightedRoundRobin
+from gypsumlock.organisations import identify, mark_headers
 from gypsumlock.result_codes import ResultCode
 
 __all__ = ["Call", "CallClassifier"]
@@ -37,6 +38,8 @@
     deadline_at_s: float
     # Organisation that the call belongs to; None if it belongs to none.
     organisation: Organisation | None = None
+    # Digest of the API key that shows this; empty if the call needs no key.
+    key_digest: bytes = b""
     # True once the call was offered to an owner.
     offered: bool = False
     # Nodes whose upstreams were sent the call, or may have been.
@@ -83,7 +86,9 @@
         if table is None:
             return ResultCode.CALL_NOT_READY
         names = self._state.header_names
-        deciding = (b"host", names.request_id, names.deadline_ms)
+        deciding: tuple[bytes, ...] = (b"host", names.request_id, names.deadline_ms)
+        if table.requires_keys:
+            deciding += (names.authorization,)
         if has_conflict(request.headers, deciding):
             return ResultCode.CALL_BAD_REQUEST
         path = request.target.partition(b"?")[0].decode("latin-1")
@@ -100,6 +105,9 @@
             return ResultCode.CALL_LEAVING
         if self._state.memory.is_high():
             return ResultCode.CALL_NO_MEMORY
+        identity = identify(table, route, request.header(names.authorization))
+        if isinstance(identity, ResultCode):
+            return identity
         header_names = self._state.header_names
         remaining_s = route.timeout_s
         client_deadline_ms = _parse_deadline_ms(
@@ -124,6 +132,8 @@
             if header[0] not in set_by_node
         ]
         headers.append((header_names.caller_service, self._state.service.encode()))
+        if table.requires_keys:
+            headers = mark_headers(headers, header_names, identity.organisation)
         return Call(
             route=route,
             service=self._round_robin.choose_service(route),
@@ -134,6 +144,8 @@
             target_at_s=request.received_s
             + min(route.target_latency_s - waited_s, remaining_s),
             deadline_at_s=request.received_s + remaining_s,
+            organisation=identity.organisation,
+            key_digest=identity.key_digest,
         )
 
 
--- a/gypsumlock/mesh/call_responder.py
+++ b/gypsumlock/mesh/call_responder.py
@@ -24,6 +24,7 @@
 DEFAULT_RETRY_AFTER_S = 0.3
 # Maximum random deviation of Retry-After in either direction, as a share of its value.
 RETRY_AFTER_JITTER = 0.25
+UNAUTHORIZED = 401
 SERVICE_UNAVAILABLE = 503
 
 
@@ -84,7 +85,7 @@
             message,
             call=call.request_id.decode("latin-1"),
             route=call.route.name,
-            rank=call.route.rank,
+            rank=call.rank,
             version=call.version,
             service=call.service,
             upstreams=sorted(call.sent_to),
@@ -106,6 +107,8 @@
             headers.append((self._id_header, request_id))
         if entry.http_status == SERVICE_UNAVAILABLE:
             headers.append((b"retry-after", b"%.3f" % retry_after_s))
+        elif entry.http_status == UNAUTHORIZED:
+            headers.append((b"www-authenticate", b"Bearer"))
         body = msgspec.json.encode({"code": code.value, "name": code.name})
         self._metrics.increment(f"refused.{code.name.lower()}")
         connection.send_response(entry.http_status, headers, body)
--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -256,7 +256,7 @@
             if view.node not in call.sent_to and view.node not in call.not_accepting
         ]
         size_bytes = self._mean_call_bytes.get(call.route.name, 0.0)
-        profile = CallProfile(call.route, size_bytes)
+        profile = CallProfile(call.route, size_bytes, call.rank)
         return self._selector.order_by_cost(profile, views, self._loop.time())
 
     def _record_refusal(self, call: Call, outcome: Refusal) -> None:
@@ -274,7 +274,7 @@
             request_id=call.request_id,
             service=call.service,
             route=call.route.name,
-            rank=call.route.rank,
+            rank=call.rank,
             repeatable=call.route.repeatable,
             target_s=call.route.target_latency_s,
             late_ok=late_ok,
@@ -286,6 +286,7 @@
             headers=call.headers,
             body=call.request.body,
             first_offer=not call.offered,
+            organisation=call.organisation.name if call.organisation else "",
         )
         call.offered = True
         load_age_s = now_s - view.load_at_s
--- a/gypsumlock/mesh/feed_messages.py
+++ b/gypsumlock/mesh/feed_messages.py
@@ -16,6 +16,7 @@
 from gypsumlock.mesh.model import (
     ClientLimits,
     MeshConfig,
+    Organisation,
     RouteSpec,
     ServiceSpec,
     UpstreamRecord,
@@ -83,6 +84,10 @@
     limits: ClientLimits
     # Checksum of the complete new version.
     checksum: Number
+    # Names of organisations that `version` no longer has.
+    removed_organisations: list[str] = []
+    # Organisations that are new or have changed.
+    organisations: list[Organisation] = []
 
 
 class PackedDelta(msgspec.Struct, array_like=True, tag=12):
@@ -118,9 +123,16 @@
 
 
 def compute_checksum(config: MeshConfig) -> int:
-    """Return a checksum that doesn't depend on the order of the routes."""
+    """Return a checksum that doesn't depend on the order of routes or organisations."""
     routes = sorted(config.routes, key=lambda route: route.name)
-    contents = (config.version, routes, config.services, config.limits)
+    organisations = sorted(config.organisations, key=lambda entry: entry.name)
+    contents = (
+        config.version,
+        routes,
+        config.services,
+        config.limits,
+        organisations,
+    )
     return zlib.crc32(msgspec.msgpack.encode(contents))
 
 
@@ -128,6 +140,8 @@
     """Return the delta that turns one version into another."""
     old_routes = {route.name: route for route in before.routes}
     new_names = {route.name for route in after.routes}
+    old_organisations = {entry.name: entry for entry in before.organisations}
+    new_organisations = {entry.name for entry in after.organisations}
     return ConfigDelta(
         base_version=before.version,
         version=after.version,
@@ -136,6 +150,14 @@
         services=list(after.services),
         limits=after.limits,
         checksum=compute_checksum(after),
+        removed_organisations=[
+            name for name in old_organisations if name not in new_organisations
+        ],
+        organisations=[
+            entry
+            for entry in after.organisations
+            if old_organisations.get(entry.name) != entry
+        ],
     )
 
 
@@ -151,8 +173,17 @@
     for name in delta.removed_routes:
         routes.pop(name, None)
     routes.update((route.name, route) for route in delta.routes)
-    services = tuple(delta.services)
-    config = MeshConfig(delta.version, tuple(routes.values()), services, delta.limits)
+    organisations = {entry.name: entry for entry in base.organisations}
+    for name in delta.removed_organisations:
+        organisations.pop(name, None)
+    organisations.update((entry.name, entry) for entry in delta.organisations)
+    config = MeshConfig(
+        delta.version,
+        tuple(routes.values()),
+        tuple(delta.services),
+        delta.limits,
+        tuple(organisations.values()),
+    )
     return config if compute_checksum(config) == delta.checksum else None
 
 
--- a/gypsumlock/mesh/placement.py
+++ b/gypsumlock/mesh/placement.py
@@ -62,6 +62,8 @@
     route: RouteSpec
     # Expected size of the request and the response together, in bytes.
     size_bytes: float
+    # Rank of the call; None if it is that of the route.
+    rank: int | None = None
 
 
 @dataclass(slots=True)
@@ -208,7 +210,8 @@
             1 + BUSY_SLOWDOWN * saturation + max(0.0, calls_per_slot - 1)
         )
         if view.load.wait_s:
-            index = min(route.rank, len(view.load.wait_s) - 1)
+            rank = route.rank if profile.rank is None else profile.rank
+            index = min(rank, len(view.load.wait_s) - 1)
             expected_s += view.load.wait_s[index] * view.freshness(now_s)
         if view.zone != self._zone:
             expected_s += CROSS_ZONE_ROUND_TRIP_S
--- a/gypsumlock/platform/config.py
+++ b/gypsumlock/platform/config.py
@@ -21,10 +21,16 @@
 from gypsumlock.mesh.model import (
     ClientLimits,
     MeshConfig,
+    Organisation,
     RouteSpec,
     ServiceShare,
     ServiceSpec,
 )
+from gypsumlock.platform.tenants import (
+    InvalidOrganisation,
+    check_organisations,
+    decode_organisation,
+)
 from gypsumlock.result_codes import Fault, ResultCode
 
 __all__ = ["decode_config"]
@@ -71,6 +77,8 @@
     # Rank of the route; 0 is the most urgent.
     priority: Rank = DEFAULT_RANK
     max_attempts: Count = DEFAULT_MAX_ATTEMPTS
+    # True if calls need no API key.
+    public: bool = False
     # Destination of calls: exactly one of `service` and `weighted_clusters` is set.
     service: str | None = None
     weighted_clusters: list[_WeightedCluster] | None = None
@@ -99,10 +107,13 @@
     Returns
     -------
     Result[MeshConfig, Fault]
-        The version, or `PLATFORM_BAD_MESSAGE`.
+        The version, or `PLATFORM_BAD_MESSAGE`, `CONFIG_DUPLICATE_NAME`,
+        `CONFIG_DUPLICATE_KEY` or `CONFIG_BAD_QUOTA`.
     """
     try:
         return Ok(_decode_document(value))
+    except InvalidOrganisation as error:
+        return Err(error.fault)
     except (*DECODE_ERRORS, ValueError) as error:
         detail = f"configuration can't be decoded: {error}"
         return Err(Fault(ResultCode.PLATFORM_BAD_MESSAGE, detail))
@@ -112,6 +123,7 @@
     document = _DOCUMENT_DECODER.decode(value)
     routes: list[RouteSpec] = []
     services: list[ServiceSpec] = []
+    organisations: list[Organisation] = []
     limits: ClientLimits | None = None
     for resource in document.resources:
         name = resource.metadata.name
@@ -122,6 +134,8 @@
         elif resource.resource_type == "services":
             service = msgspec.json.decode(resource.spec, type=_Service)
             services.append(ServiceSpec(name, service.health_path, service.max_conns))
+        elif resource.resource_type == "tenants":
+            organisations.append(decode_organisation(name, resource.spec))
         elif resource.resource_type == "limits":
             limits_spec = msgspec.json.decode(resource.spec, type=_Limits)
             limits = ClientLimits(
@@ -132,8 +146,13 @@
             )
     if limits is None:
         raise ValueError("configuration has no limits resource")
+    check_organisations(organisations)
     return MeshConfig(
-        _parse_version(document.version), tuple(routes), tuple(services), limits
+        _parse_version(document.version),
+        tuple(routes),
+        tuple(services),
+        limits,
+        tuple(organisations),
     )
 
 
@@ -158,6 +177,7 @@
         rank=spec.priority,
         max_attempts=max(1, spec.max_attempts),
         shares=shares,
+        public=spec.public,
     )
 
 
