Decide in a module of its own when calls leave their zone

Calls left their zone whenever the expected latency elsewhere, with jitter, was lower by 6 ms for each KiB. A call now stays while its zone is expected to answer it well within its target, and only a share that follows the other zone's answers leaves.

--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -235,8 +235,12 @@
                 outcome = await self._attempt(call, view, late_ok)
                 if not isinstance(outcome, Refusal) or outcome.rejected_by_upstream:
                     self._record_sent(call, view)
+                    in_time = self._loop.time() <= call.target_at_s
+                    self._selector.record_offer(call.service, view, in_time)
                     return outcome
                 self._record_refusal(call, outcome)
+                if not late_ok:
+                    self._selector.record_offer(call.service, view, in_time=False)
                 if not outcome.load.accepting:
                     call.not_accepting.add(view.node)
         return None
@@ -256,7 +260,7 @@
             if view.node not in call.sent_to and view.node not in call.not_accepting
         ]
         size_bytes = self._mean_call_bytes.get(call.route.name, 0.0)
-        profile = CallProfile(call.route, size_bytes)
+        profile = CallProfile(call.route, size_bytes, call.service)
         return self._selector.order_by_cost(profile, views, self._loop.time())
 
     def _record_refusal(self, call: Call, outcome: Refusal) -> None:
--- a/gypsumlock/mesh/placement.py
+++ b/gypsumlock/mesh/placement.py
@@ -15,6 +15,7 @@
 from gypsumlock.mesh.model import OwnerLoad, RouteSpec
 from gypsumlock.mesh.pacer import CHUNK_BYTES
 from gypsumlock.mesh.recent_table import RecentTable
+from gypsumlock.mesh.zone_policy import RankedUpstream, ZonePolicy
 
 __all__ = ["CallProfile", "UpstreamSelector", "UpstreamView"]
 
@@ -27,8 +28,6 @@
 BUSY_SHARE = 0.7
 # Relative growth of the service time from that point until all slots are busy.
 BUSY_SLOWDOWN = 0.5
-# Extra time that a call may wait in its own zone to keep one KiB from crossing zones.
-CROSS_ZONE_COST_S_PER_KIB = 0.006
 # Calls of at least this size leave their zone only if no upstream in it can serve them.
 ZONE_BOUND_BYTES = 65_536
 # Share of the latency target that the transfer of such a call may take on the network
@@ -62,6 +61,7 @@
     route: RouteSpec
     # Expected size of the request and the response together, in bytes.
     size_bytes: float
+    service: str = ""
 
 
 @dataclass(slots=True)
@@ -133,43 +133,49 @@
         Source of the jitter.
     """
 
-    __slots__ = ("_node", "_rng", "_zone")
+    __slots__ = ("_node", "_rng", "_zone", "_zone_policy")
 
     def __init__(self, node: str, zone: str, rng: random.Random) -> None:
         self._node = node
         self._zone = zone
         self._rng = rng
+        self._zone_policy = ZonePolicy(zone, rng)
 
     def order_by_cost(
         self, profile: CallProfile, views: Sequence[UpstreamView], now_s: float
     ) -> list[UpstreamView]:
-        """Return the upstreams to try, the one with the lowest cost first.
+        """Return the upstreams to try, the best one first.
 
+        The best one has the lowest cost, in the node's own zone unless leaving it pays.
         Ejected upstreams are returned only if all of them are ejected.
         """
         fallback_service_s = _fallback_service_s(profile.route, views)
         candidates = [view for view in views if not view.ejected]
         candidates = candidates or list(views)
         candidates = list(self._restrict_to_zone(profile, candidates, now_s))
-        costs = [
-            (self.cost_s(profile, view, fallback_service_s, now_s), index)
-            for index, view in enumerate(candidates)
+        ranked = [
+            self.rank_upstream(profile, view, fallback_service_s, now_s)
+            for view in candidates
         ]
-        costs.sort()
-        return [candidates[index] for _, index in costs]
+        ranked.sort(key=_cost_s)
+        return self._zone_policy.order(profile.service, profile.size_bytes, ranked)
 
-    def cost_s(
+    def record_offer(self, service: str, view: UpstreamView, in_time: bool) -> None:
+        """Record whether an upstream answered a call within its latency target."""
+        self._zone_policy.record_offer(service, view.zone, in_time)
+
+    def rank_upstream(
         self,
         profile: CallProfile,
         view: UpstreamView,
         fallback_service_s: float,
         now_s: float,
-    ) -> float:
-        """Return the cost of sending a call to an upstream, in seconds.
+    ) -> RankedUpstream:
+        """Return an upstream with the cost of sending a call to it.
 
         A response well within the latency target is as good as a faster one, so the
         cost is the risk of a late response and not the expected latency. The risks of a
-        refusal and of a failure and the cost of traffic between zones are added.
+        refusal and of a failure are added.
         """
         target_s = route_target_s(profile.route)
         latency_ratio = (
@@ -187,9 +193,7 @@
         cost_s += (
             FAILURE_COST_FACTOR * target_s * view.load.failure_share * failure_weight
         )
-        if view.zone != self._zone:
-            cost_s += CROSS_ZONE_COST_S_PER_KIB * profile.size_bytes / 1024
-        return cost_s
+        return RankedUpstream(view, cost_s, latency_ratio)
 
     def _expected_latency_s(
         self,
@@ -237,6 +241,10 @@
         return in_zone or views
 
 
+def _cost_s(ranked: RankedUpstream) -> float:
+    return ranked.cost_s
+
+
 def _transfer_s(profile: CallProfile, view: UpstreamView, now_s: float) -> float:
     """Return the expected time on the upstream's network link, in seconds."""
     is_large = profile.size_bytes > CHUNK_BYTES
