Add leases in the store

Roll-outs and quotas need one node at a time to decide. LeaseState decides when to read, acquire, renew and release; LeaseKeeper calls the store and answers held(). A released row keeps its token, so that the token grows with each acquisition. Ruled out: a renewal with a new token each time, as callers would drop valid grants.

--- /dev/null
+++ b/gypsumlock/leases/lease_state.py
@@ -0,0 +1,265 @@
+"""Decides when to acquire, renew and release one lease, without any I/O.
+
+Phases, as long as the node is a candidate:
+1. Read the row.
+2. While another node holds the lease: read the row from time to time. The lease is
+   vacant once its row version has not changed for the duration and a margin.
+3. Vacant: write the row, on the condition that it is still the one that was read, with
+   the next token. The node is the holder if the write takes effect.
+4. Holder: renew by writing the row again.
+After the response to a write was lost, the row is read and its content decides.
+
+Invariants: a holder counts the duration from the start of its last write that took
+effect, and subtracts the margin; an observer counts from when it first saw the row
+version, and adds the margin. So at most one node is the holder at any time, if the
+clocks of two machines differ by less than two margins over a duration.
+
+It is designed for a few candidates for each lease, a store that may be away for most of
+a duration, and processes that are paused at any point. All times are those of a clock
+that goes on during a suspension.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from gypsumlock.leases.lease import Lease
+
+__all__ = ["LeaseState", "LeaseStep", "StepKind"]
+
+DURATION_S = 15.0
+# Allows for clocks of different rates, and for a pause after a clock was read.
+MARGIN_S = 0.5
+# Interval of renewals. The store may be away for the rest of the duration.
+RENEW_INTERVAL_S = 4.0
+# Interval at which a candidate reads the row of another holder.
+POLL_INTERVAL_S = 4.0
+# Time until the next call to the store after one that failed.
+RETRY_INTERVAL_S = 0.5
+
+
+class StepKind(Enum):
+    """What the node does next for a lease."""
+
+    WAIT = "wait"
+    READ = "read"
+    # Write the row of the step if the row still has the expected version.
+    ACQUIRE = "acquire"
+    RENEW = "renew"
+    RELEASE = "release"
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseStep:
+    """The next step, and the row that it writes."""
+
+    kind: StepKind
+    lease: Lease | None = None
+    expected_version: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _PendingWrite:
+    """A write whose outcome is not known; it may still take effect."""
+
+    lease: Lease
+    expected_version: int
+    started_at_s: float
+
+
+class LeaseState:
+    """What one node knows of one lease.
+
+    Parameters
+    ----------
+    node : str
+        Name of the node.
+    duration_s : float
+        Duration of the lease in seconds, for which the node acquires it.
+    """
+
+    __slots__ = (
+        "_duration_s",
+        "_held_until_s",
+        "_last_call_at_s",
+        "_must_read",
+        "_next_call_at_s",
+        "_node",
+        "_pending",
+        "_releasing",
+        "_row",
+        "_seen_at_s",
+        "_token",
+        "_version",
+    )
+
+    def __init__(self, node: str, duration_s: float = DURATION_S) -> None:
+        self._node = node
+        self._duration_s = duration_s
+        self._row: Lease | None = None
+        # None until the row was read.
+        self._version: int | None = None
+        # When the row version was first seen.
+        self._seen_at_s = 0.0
+        self._pending: _PendingWrite | None = None
+        # True until the row was read, first and after each call that failed.
+        self._must_read = True
+        # True from the release until the row is seen to have another holder or none.
+        self._releasing = False
+        # Token of this node as the holder; None if it is not.
+        self._token: int | None = None
+        self._held_until_s = 0.0
+        self._last_call_at_s = float("-inf")
+        self._next_call_at_s = float("-inf")
+
+    @property
+    def holder(self) -> str | None:
+        """Name of the holder in the row as last seen; None if there is none."""
+        return self._row.holder or None if self._row is not None else None
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is left to do for a node that is no candidate."""
+        return self._token is None and not self._releasing
+
+    def held(self, now_s: float) -> int | None:
+        """Return the fencing token if this node holds the lease, or None.
+
+        Parameters
+        ----------
+        now_s : float
+            The time, read immediately before the use.
+        """
+        return self._token if now_s < self._held_until_s else None
+
+    def next_step(self, now_s: float, is_candidate: bool) -> LeaseStep:
+        """Return what to do now.
+
+        Parameters
+        ----------
+        now_s : float
+            The time.
+        is_candidate : bool
+            Whether the node should hold the lease if it can.
+        """
+        if not is_candidate:
+            return self._step_of_other(now_s)
+        self._releasing = False
+        if now_s < self._next_call_at_s:
+            return LeaseStep(StepKind.WAIT)
+        if self._version is None or self._must_read:
+            return LeaseStep(StepKind.READ)
+        if self._token is not None:
+            assert self._row is not None
+            return LeaseStep(StepKind.RENEW, self._row, self._version)
+        if self._is_vacant(now_s):
+            token = 1 if self._row is None else self._row.token + 1
+            lease = Lease(self._node, token, self._duration_s)
+            return LeaseStep(StepKind.ACQUIRE, lease, self._version)
+        return LeaseStep(StepKind.READ)
+
+    def start_write(self, step: LeaseStep, now_s: float) -> None:
+        """Record that the write of a step is about to be sent."""
+        assert step.lease is not None
+        pending = self._pending
+        if step.kind is StepKind.RELEASE:
+            # Nothing may be done under the lease once its release was sent.
+            self._token = None
+            self._releasing = True
+        if (
+            pending is None
+            or pending.lease != step.lease
+            or pending.expected_version != step.expected_version
+        ):
+            # Of several equal writes, the first may be the one that takes effect.
+            self._pending = _PendingWrite(step.lease, step.expected_version, now_s)
+
+    def write_done(self, version: int, now_s: float) -> None:
+        """Record that the write took effect, as the given version of the row."""
+        pending = self._pending
+        assert pending is not None
+        self.observe(version, pending.lease, now_s)
+
+    def observe(self, version: int, row: Lease | None, now_s: float) -> None:
+        """Record the row, as it was read or as it prevented a write.
+
+        Parameters
+        ----------
+        version : int
+            Version of the row; 0 if it does not exist.
+        row : Lease | None
+            Its content.
+        now_s : float
+            Time of the response.
+        """
+        pending = self._pending
+        if version != self._version:
+            self._seen_at_s = now_s
+        took_effect = (
+            pending is not None
+            and row == pending.lease
+            and version != pending.expected_version
+        )
+        if took_effect and pending is not None and pending.lease.holder:
+            self._token = pending.lease.token
+            usable_s = pending.lease.duration_s - MARGIN_S
+            self._held_until_s = pending.started_at_s + usable_s
+        elif row is None or row.holder != self._node or row.token != self._token:
+            self._token = None
+        if pending is not None and version != pending.expected_version:
+            # The condition of the write can't hold any more.
+            self._pending = None
+        if row is None or row.holder != self._node:
+            self._releasing = False
+        self._row = row
+        self._version = version
+        self._must_read = False
+        self._last_call_at_s = now_s
+        self._next_call_at_s = self._due_at_s(now_s)
+
+    def call_failed(self, now_s: float) -> None:
+        """Record that a call to the store failed; a write may have taken effect."""
+        self._must_read = True
+        self._last_call_at_s = now_s
+        self._next_call_at_s = now_s + RETRY_INTERVAL_S
+
+    def wake(self) -> None:
+        """Read the row soon: another node says that the lease has no holder."""
+        if self._token is None:
+            soonest_s = self._last_call_at_s + RETRY_INTERVAL_S
+            self._next_call_at_s = min(self._next_call_at_s, soonest_s)
+
+    def _due_at_s(self, now_s: float) -> float:
+        """Return the time of the next call to the store after a successful one."""
+        if self._token is not None:
+            renew_at_s = self._held_until_s - self._duration_s + MARGIN_S
+            return max(now_s, renew_at_s + RENEW_INTERVAL_S)
+        if self._is_vacant(now_s):
+            return now_s
+        assert self._row is not None
+        vacant_at_s = self._seen_at_s + self._row.duration_s + MARGIN_S
+        return min(vacant_at_s, now_s + POLL_INTERVAL_S)
+
+    def _is_vacant(self, now_s: float) -> bool:
+        row = self._row
+        if row is None or not row.holder or row.holder == self._node:
+            # An earlier process of this node has ended.
+            return True
+        return now_s >= self._seen_at_s + row.duration_s + MARGIN_S
+
+    def _step_of_other(self, now_s: float) -> LeaseStep:
+        """Return the step of a node that is no candidate."""
+        if self.idle or self._row is None or self._version is None:
+            # What was seen would be out of date once it is a candidate again.
+            self._version = None
+            self._row = None
+            self._pending = None
+            self._next_call_at_s = float("-inf")
+            return LeaseStep(StepKind.WAIT)
+        if self._releasing and now_s < self._next_call_at_s:
+            return LeaseStep(StepKind.WAIT)
+        if self._releasing and self._must_read:
+            return LeaseStep(StepKind.READ)
+        released = Lease("", self._row.token, self._duration_s)
+        return LeaseStep(StepKind.RELEASE, released, self._version)
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,206 @@
+"""Leases: at most one holder at any time, whatever fails between node and store."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from dataclasses import dataclass, field
+from functools import partial
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gypsumlock.leases import (
+    LEASE_TABLE,
+    Lease,
+    LeaseKeeper,
+    LeaseState,
+    LeaseStep,
+    StepKind,
+    decode_lease,
+    encode_lease,
+)
+from tests.standins.feed_store import MemoryFeedStore
+from tests.standins.simulated_clock import run_simulated
+
+NODES = ("n1", "n2", "n3")
+
+
+@dataclass
+class _Row:
+    lease: Lease | None = None
+    version: int = 0
+
+
+@dataclass
+class _Model:
+    """Nodes that take their steps against one row; writes may be late or lost."""
+
+    now_s: float = 0.0
+    row: _Row = field(default_factory=_Row)
+    # Writes that have not reached the store yet.
+    late: list[LeaseStep] = field(default_factory=list)
+    states: dict[str, LeaseState] = field(
+        default_factory=lambda: {node: LeaseState(node) for node in NODES}
+    )
+
+    def write(self, step: LeaseStep) -> bool:
+        if self.row.version != step.expected_version:
+            return False
+        self.row = _Row(step.lease, self.row.version + 1)
+        return True
+
+    def step(self, node: str, is_candidate: bool, fate: str, delay_s: float) -> None:
+        state = self.states[node]
+        step = state.next_step(self.now_s, is_candidate)
+        if step.kind is StepKind.WAIT:
+            return
+        if step.kind is not StepKind.READ:
+            state.start_write(step, self.now_s)
+            if fate == "late":
+                self.late.append(step)
+        took_effect = False
+        if step.kind is not StepKind.READ and fate in ("done", "lost"):
+            took_effect = self.write(step)
+        row = self.row
+        self.now_s += delay_s
+        if fate != "done":
+            state.call_failed(self.now_s)
+        elif took_effect:
+            state.write_done(row.version, self.now_s)
+        else:
+            state.observe(row.version, row.lease, self.now_s)
+
+    def holders(self) -> dict[str, int]:
+        held = {node: state.held(self.now_s) for node, state in self.states.items()}
+        return {node: token for node, token in held.items() if token is not None}
+
+
+_EVENTS = st.one_of(
+    st.tuples(
+        st.just("step"),
+        st.sampled_from(NODES),
+        st.sampled_from(("done", "done", "done", "lost", "failed", "late")),
+        st.sampled_from((0.0, 0.01, 1.2)),
+    ),
+    st.tuples(st.just("leave"), st.sampled_from(NODES), st.just("done"), st.just(0.0)),
+    st.tuples(st.just("restart"), st.sampled_from(NODES), st.just(""), st.just(0.0)),
+    st.tuples(
+        st.just("wait"),
+        st.just(""),
+        st.just(""),
+        st.sampled_from((0.3, 4.0, 10.0, 14.6, 16.0)),
+    ),
+    st.tuples(st.just("arrive"), st.just(""), st.just(""), st.just(0.0)),
+)
+
+
+class TestExclusion(unittest.TestCase):
+    """Guards against two holders at a time, and a token that does not grow."""
+
+    @settings(max_examples=400, deadline=None)
+    @given(st.lists(_EVENTS, max_size=60))
+    def test_one_holder_and_growing_tokens(
+        self, events: list[tuple[str, str, str, float]]
+    ) -> None:
+        model = _Model()
+        last_holder, last_token = "", 0
+        for kind, node, fate, delay_s in events:
+            if kind == "step":
+                model.step(node, True, fate, delay_s)
+            elif kind == "leave":
+                model.step(node, False, fate, delay_s)
+            elif kind == "restart":
+                # The writes of the earlier process have been sent, or never will be.
+                model.late = [
+                    x for x in model.late if x.lease and x.lease.holder != node
+                ]
+                model.states[node] = LeaseState(node)
+            elif kind == "arrive" and model.late:
+                model.write(model.late.pop(0))
+            else:
+                model.now_s += delay_s
+            holders = model.holders()
+            self.assertLessEqual(len(holders), 1, holders)
+            for holder, token in holders.items():
+                self.assertGreaterEqual(token, last_token)
+                if holder != last_holder:
+                    self.assertGreater(token, last_token)
+                last_holder, last_token = holder, token
+
+
+class TestTakeover(unittest.TestCase):
+    """Guards against a lease that stays vacant, or is taken over too early."""
+
+    def test_vacant_after_duration_and_margin_without_a_change(self) -> None:
+        state = LeaseState("n2")
+        state.observe(7, Lease("n1", 3, 15.0), 100.0)
+        self.assertEqual(state.next_step(115.4, True).kind, StepKind.READ)
+        state.observe(7, Lease("n1", 3, 15.0), 115.4)
+        step = state.next_step(115.5, True)
+        self.assertEqual(step.lease, Lease("n2", 4, 15.0))
+
+    def test_row_of_an_earlier_process_is_taken_over_at_once(self) -> None:
+        state = LeaseState("n1")
+        state.observe(7, Lease("n1", 3, 15.0), 100.0)
+        self.assertEqual(state.next_step(100.0, True).lease, Lease("n1", 4, 15.0))
+
+    def test_paused_holder_stops_by_itself(self) -> None:
+        state = LeaseState("n1")
+        state.observe(0, None, 100.0)
+        state.start_write(state.next_step(100.0, True), 100.0)
+        state.write_done(1, 101.0)
+        self.assertEqual(state.held(114.4), 1)
+        self.assertIsNone(state.held(114.5))
+
+    def test_damaged_row_does_not_block_the_lease(self) -> None:
+        self.assertIsNone(decode_lease(b'{"holder":"x","token":1,"duration_s":1e8}'))
+        self.assertIsNone(decode_lease(b"{"))
+
+
+class TestKeeper(unittest.TestCase):
+    """Guards against calls to the store without need, and leases not handed over."""
+
+    def test_release_lost_response_and_outage(self) -> None:
+        async def run() -> None:
+            loop = asyncio.get_running_loop()
+            store = MemoryFeedStore()
+            wanted: dict[str, set[str]] = {"n1": {"a"}, "n2": set()}
+            keepers = {
+                node: LeaseKeeper(
+                    store, node, partial(wanted.__getitem__, node), loop.time
+                )
+                for node in wanted
+            }
+            tasks = [asyncio.create_task(x.run()) for x in keepers.values()]
+            store.responses_to_lose = 1
+            await asyncio.sleep(2.0)
+            self.assertEqual(keepers["n1"].held("a"), 1)
+            calls = store.call_count
+            await asyncio.sleep(40.0)
+            self.assertLessEqual(store.call_count - calls, 10)
+            store.set_down(True)
+            await asyncio.sleep(9.0)
+            self.assertEqual(keepers["n1"].held("a"), 1)
+            await asyncio.sleep(6.0)
+            self.assertIsNone(keepers["n1"].held("a"))
+            store.set_down(False)
+            await asyncio.sleep(2.0)
+            self.assertEqual(keepers["n1"].held("a"), 1)
+            wanted["n2"] = {"a"}
+            await asyncio.sleep(1.0)
+            self.assertEqual(keepers["n2"].holder_hint("a"), "n1")
+            wanted["n1"] = set()
+            await asyncio.sleep(5.0)
+            self.assertIsNone(keepers["n1"].held("a"))
+            self.assertEqual(keepers["n2"].held("a"), 2)
+            row = store.tables[LEASE_TABLE]["a"]
+            self.assertEqual(row.value, encode_lease(Lease("n2", 2, 15.0)))
+            for task in tasks:
+                task.cancel()
+
+        run_simulated(run())
+
+
+if __name__ == "__main__":
+    unittest.main()
