Charge calls to quotas that all nodes share

An organisation's quota is divided into parts, each granted by the holder of a leased slot. Callers' nodes ask for tokens over the connections between nodes; a call without a quota pays nothing. The proof of the bound is in quota/parts.py.

--- a/gypsumlock/mesh/call_classifier.py
+++ b/gypsumlock/mesh/call_classifier.py
@@ -15,6 +15,7 @@
 from gypsumlock.mesh.request_age import RequestAgeEstimator
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.mesh.weighted_round_robin import WeightedRoundRobin
+from gypsumlock.quota import Lot
 from gypsumlock.result_codes import ResultCode
 
 __all__ = ["Call", "CallClassifier"]
@@ -52,6 +53,8 @@
     # Latest server error; passed on if no attempt gets a better response.
     fallback_answer: Answer | None = None
     refusal_code: ResultCode = ResultCode.CALL_NO_UPSTREAM
+    # Lot of the token that the call was charged with.
+    charge: Lot | None = None
 
     @property
     def rank(self) -> int:
--- a/gypsumlock/mesh/call_responder.py
+++ b/gypsumlock/mesh/call_responder.py
@@ -24,6 +24,8 @@
 DEFAULT_RETRY_AFTER_S = 0.3
 # Maximum random deviation of Retry-After in either direction, as a share of its value.
 RETRY_AFTER_JITTER = 0.25
+# Statuses that tell a client when to return.
+TOO_MANY_REQUESTS = 429
 SERVICE_UNAVAILABLE = 503
 
 
@@ -59,10 +61,11 @@
     ) -> None:
         """Tell the client why its call was not answered, and when to return."""
         retry_after_s = call.retry_after_s or DEFAULT_RETRY_AFTER_S
-        # Jitter keeps clients that were refused together from retrying together.
-        retry_after_s *= self._rng.uniform(
-            1 - RETRY_AFTER_JITTER, 1 + RETRY_AFTER_JITTER
-        )
+        # Jitter keeps clients that were refused together from retrying together. A
+        # client that is over its quota has none left before the time.
+        is_over_quota = code is ResultCode.CALL_OVER_QUOTA
+        low = 0.0 if is_over_quota else -RETRY_AFTER_JITTER
+        retry_after_s *= 1 + self._rng.uniform(low, RETRY_AFTER_JITTER)
         self._send_error(connection, call.request, code, retry_after_s)
         self.record_call(call, "call not answered", get_code_entry(code).http_status)
 
@@ -104,7 +107,7 @@
         request_id = request.header(self._id_header)
         if request_id is not None:
             headers.append((self._id_header, request_id))
-        if entry.http_status == SERVICE_UNAVAILABLE:
+        if entry.http_status in (TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE):
             headers.append((b"retry-after", b"%.3f" % retry_after_s))
         body = msgspec.json.encode({"code": code.value, "name": code.name})
         self._metrics.increment(f"refused.{code.name.lower()}")
--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -20,6 +20,7 @@
 from collections.abc import Sequence
 
 from gypsumlock.logs import Component, get_logger
+from gypsumlock.mesh.call_charger import CallCharger
 from gypsumlock.mesh.call_classifier import Call, CallClassifier
 from gypsumlock.mesh.call_responder import CallResponder
 from gypsumlock.mesh.directory import UpstreamDirectory
@@ -89,6 +90,7 @@
         "_selector",
         "_state",
         "_timeouts",
+        "charger",
     )
 
     def __init__(
@@ -111,6 +113,8 @@
         self._mean_call_bytes: RecentTable[str, float] = RecentTable()
         # Of the calls in progress.
         self._timeouts: set[asyncio.Timeout] = set()
+        # Charges the calls of organisations that have a quota; None if there are none.
+        self.charger: CallCharger | None = None
 
     def limits(self) -> ClientLimits:
         """Return the client limits of the configuration version in force."""
@@ -127,7 +131,7 @@
         self._timeouts.add(timeout)
         try:
             async with timeout:
-                answer = await self._run_with_retries(call)
+                answer = await self._charge_and_run(call)
         except TimeoutError:
             self._responder.fail_call(call, connection, ResultCode.CALL_DEADLINE)
             return
@@ -141,8 +145,21 @@
         elif call.outcome_unknown:
             self._responder.fail_call(call, connection, ResultCode.CALL_UNKNOWN_OUTCOME)
         else:
+            if self.charger is not None:
+                self.charger.refund(call)
             self._responder.fail_call(call, connection, call.refusal_code)
 
+    async def _charge_and_run(self, call: Call) -> Answer | None:
+        """Return the response to forward; None also if the call is over its quota."""
+        charger = self.charger
+        if (
+            charger is not None
+            and charger.has_quota(call)
+            and not await charger.charge(call)
+        ):
+            return None
+        return await self._run_with_retries(call)
+
     def limit_deadlines(self) -> None:
         """Move the deadlines of all calls before the end of a stopping process.
 
--- a/gypsumlock/mesh/caller_protocol.py
+++ b/gypsumlock/mesh/caller_protocol.py
@@ -25,6 +25,7 @@
     Refusal,
     peer_lost_failure,
 )
+from gypsumlock.mesh.quota_messages import Grant
 from gypsumlock.mesh.round_trip import RoundTripEstimator
 from gypsumlock.result_codes import ResultCode
 
@@ -67,6 +68,10 @@
     def store_load_report(self, load: OwnerLoad) -> None:
         """Store an unsolicited load report."""
 
+    @abstractmethod
+    def receive_grant(self, grant: Grant) -> None:
+        """Use a grant of the node."""
+
     @abstractmethod
     def forget_protocol(self, protocol: CallerProtocol) -> None:
         """Drop the reference to a protocol whose connection is closed."""
@@ -116,6 +121,8 @@
                 self.memory.answers.hold(len(message.body))
         elif isinstance(message, LoadReport):
             self._listener.store_load_report(message.load)
+        elif isinstance(message, Grant):
+            self._listener.receive_grant(message)
         elif isinstance(message, Pong) and message.number in self._ping_sent_at_s:
             sent_at_s = self._ping_sent_at_s.pop(message.number)
             self.round_trip.add_sample(self.loop.time() - sent_at_s)
--- a/gypsumlock/mesh/directory.py
+++ b/gypsumlock/mesh/directory.py
@@ -10,6 +10,7 @@
 from gypsumlock.mesh.owner import UpstreamOwner
 from gypsumlock.mesh.peer_connection import PeerConnection
 from gypsumlock.mesh.placement import UpstreamView
+from gypsumlock.mesh.quota_messages import Grant
 from gypsumlock.mesh.state import MeshState
 
 __all__ = ["UpstreamDirectory"]
@@ -31,7 +32,15 @@
         Sends calls to the local upstream.
     """
 
-    __slots__ = ("_by_service", "_connections", "_owner", "_records", "_state")
+    __slots__ = (
+        "_by_service",
+        "_connections",
+        "_owner",
+        "_records",
+        "_state",
+        "on_grant",
+        "serving_nodes",
+    )
 
     def __init__(self, state: MeshState, owner: UpstreamOwner) -> None:
         self._state = state
@@ -39,6 +48,10 @@
         self._records: dict[str, UpstreamRecord] = {}
         self._by_service: dict[str, list[UpstreamView]] = {}
         self._connections: dict[str, PeerConnection] = {}
+        # Nodes whose upstreams serve; replaced when the records change.
+        self.serving_nodes: tuple[str, ...] = ()
+        # Receives the grants of other nodes, if this node asks for any.
+        self.on_grant: Callable[[Grant], None] | None = None
 
     @property
     def upstream_count(self) -> int:
@@ -83,6 +96,9 @@
             by_service.setdefault(record.service, []).append(view)
         self._records = records
         self._by_service = by_service
+        serving_nodes = tuple(name for name, x in records.items() if x.serving)
+        if serving_nodes != self.serving_nodes:
+            self.serving_nodes = serving_nodes
         self._close_stale_connections()
 
     async def send(
@@ -158,13 +174,19 @@
         else:
             view.eject(asyncio.get_running_loop().time())
 
+    def has_node(self, node: str) -> bool:
+        """Return whether there is a record of a node."""
+        return node in self._records
+
     def connection_to(self, node: str) -> PeerConnection:
+        """Return the connection to a node of which there is a record."""
         connection = self._connections.get(node)
         if connection is None:
             address = self._records[node].peer_address
             state = self._state
             connection = PeerConnection(address, state.link_meter, state.memory)
             connection.ignore_silence = self._state.stopping
+            connection.on_grant = self.on_grant
             self._connections[node] = connection
         return connection
 
--- a/gypsumlock/mesh/frames.py
+++ b/gypsumlock/mesh/frames.py
@@ -25,6 +25,7 @@
 from gypsumlock.mesh.link_meter import LinkMeter
 from gypsumlock.mesh.memory_account import MemoryAccount
 from gypsumlock.mesh.model import Answer, CallRequest, Failure, OwnerLoad, Refusal
+from gypsumlock.mesh.quota_messages import Grant, GrantRequest
 from gypsumlock.mesh.write_buffer import UnsentBytes, write_with_head
 from gypsumlock.result_codes import ResultCode
 
@@ -101,6 +102,8 @@
     | PackedDelta
     | ConfigSnapshot
     | FeedHeartbeat
+    | GrantRequest
+    | Grant
 )
 
 _REQUEST_TAG = 1
--- a/gypsumlock/mesh/node.py
+++ b/gypsumlock/mesh/node.py
@@ -18,7 +18,9 @@
 import anyio
 
 from gypsumlock.controller import Controller
+from gypsumlock.leases import boot_time_s
 from gypsumlock.logs import Component, get_logger
+from gypsumlock.mesh.call_charger import CallCharger
 from gypsumlock.mesh.caller import CallDispatcher
 from gypsumlock.mesh.directory import UpstreamDirectory
 from gypsumlock.mesh.feed_follower import FeedFollower
@@ -31,6 +33,8 @@
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.mesh.upstream_probe import probe_upstream
 from gypsumlock.metrics import Metrics
+from gypsumlock.quota.client import QuotaClient
+from gypsumlock.quota.granter import QuotaGranter
 
 __all__ = ["MeshNode"]
 
@@ -62,6 +66,7 @@
         "metrics",
         "owner",
         "peer_server",
+        "quota_granter",
         "relay",
         "state",
     )
@@ -84,6 +89,15 @@
         self.peer_server = PeerServer(
             self.owner, self.relay, state.link_meter, state.pacer, state.memory
         )
+        self.quota_granter = QuotaGranter(
+            state, self.directory, self.metrics, boot_time_s
+        )
+        quota_client = QuotaClient(
+            state, self.directory, self.quota_granter, self.metrics, rng, boot_time_s
+        )
+        self.dispatcher.charger = CallCharger(state, quota_client)
+        self.directory.on_grant = quota_client.receive
+        self.peer_server.grant = self.quota_granter.grant
         # Servers for readiness checks and heartbeats.
         self.control_servers: list[CallServer] = []
 
--- a/gypsumlock/mesh/peer_connection.py
+++ b/gypsumlock/mesh/peer_connection.py
@@ -28,6 +28,7 @@
     OwnerLoad,
     peer_unreachable_refusal,
 )
+from gypsumlock.mesh.quota_messages import Grant, GrantRequest
 from gypsumlock.result_codes import ResultCode
 
 __all__ = ["PeerConnection"]
@@ -63,9 +64,11 @@
         "_protocol",
         "_silence_timer",
         "_silent_protocols",
+        "_unsent_posts",
         "address",
         "ignore_silence",
         "load",
+        "on_grant",
         "unresponsive",
     )
 
@@ -85,6 +88,10 @@
         self.load: OwnerLoad | None = None
         # True once a connection was given up as silent; its reader resets it to False.
         self.unresponsive = False
+        # Messages that wait for the connection to be opened.
+        self._unsent_posts: set[asyncio.Task[None]] = set()
+        # Receives the grants of the node; None if they are ignored.
+        self.on_grant: Callable[[Grant], None] | None = None
         # If True, silence neither fails calls nor closes the connection.
         self.ignore_silence = False
 
@@ -126,6 +133,20 @@
                 protocol.send(Cancel(number))
             raise
 
+    def post(self, message: GrantRequest) -> None:
+        """Send a message that is not a call; it is lost if that is not possible."""
+        if self._protocol is not None:
+            self._protocol.send(message)
+            return
+        task = asyncio.get_running_loop().create_task(self._connect_and_post(message))
+        self._unsent_posts.add(task)
+        task.add_done_callback(self._unsent_posts.discard)
+
+    async def _connect_and_post(self, message: GrantRequest) -> None:
+        protocol = await self._connect()
+        if protocol is not None:
+            protocol.send(message)
+
     async def probe(self) -> bool:
         """Return whether the node responds to a ping; if not, drop the connection."""
         protocol = self._protocol or await self._connect()
@@ -156,6 +177,11 @@
         """Store an unsolicited load report."""
         self.load = load
 
+    def receive_grant(self, grant: Grant) -> None:
+        """Pass a grant on to its user."""
+        if self.on_grant is not None:
+            self.on_grant(grant)
+
     def forget_protocol(self, protocol: CallerProtocol) -> None:
         """Drop the reference to a protocol whose connection is closed."""
         self._silent_protocols.discard(protocol)
--- a/gypsumlock/mesh/peer_server.py
+++ b/gypsumlock/mesh/peer_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from gypsumlock.logs import Component, get_logger
 from gypsumlock.mesh.call_handler import CallHandler
@@ -28,6 +29,7 @@
 from gypsumlock.mesh.memory_account import MemoryAccount
 from gypsumlock.mesh.model import Answer, CallRequest, OwnerLoad, Refusal
 from gypsumlock.mesh.pacer import Pacer, split_into_chunks
+from gypsumlock.mesh.quota_messages import Grant, GrantRequest
 from gypsumlock.mesh.write_buffer import has_unsent_bytes
 from gypsumlock.result_codes import ResultCode
 
@@ -77,6 +79,9 @@
                 self._server.handler.withdraw(request)
         elif isinstance(message, FollowRequest):
             self._server.relay.add_follower(self, message)
+        elif isinstance(message, GrantRequest):
+            if self._server.grant is not None:
+                self.send(self._server.grant(message))
         elif isinstance(message, Ping):
             self.send(Pong(message.number))
 
@@ -178,6 +183,7 @@
     __slots__ = (
         "_server",
         "connections",
+        "grant",
         "handler",
         "memory",
         "meter",
@@ -200,6 +206,8 @@
         self.relay = relay
         self.connections: set[InboundConnection] = set()
         self._server: asyncio.Server | None = None
+        # Answers requests for quotas; None if this node grants none.
+        self.grant: Callable[[GrantRequest], Grant] | None = None
 
     async def start(self, address: str) -> None:
         """Listen on an address; raises OSError if it is in use."""
--- a/gypsumlock/platform/daemon.py
+++ b/gypsumlock/platform/daemon.py
@@ -17,6 +17,7 @@
 from result import Err
 
 from gypsumlock.controller import Controller
+from gypsumlock.leases import LeaseKeeper
 from gypsumlock.logs import Component, configure_bounded_logs, get_logger
 from gypsumlock.mesh.config_watcher import ConfigWatcher
 from gypsumlock.mesh.node import MeshNode
@@ -69,10 +70,13 @@
     )
     node = MeshNode(state)
     store = PlatformStore(settings.store_address)
+    granter = node.quota_granter
+    granter.leases = LeaseKeeper(store, settings.node, granter.refresh)
     controllers: list[Controller] = [
         ConfigWatcher(store, node.feed, CONFIG_TABLE, CONFIG_KEY, decode_config),
         RecordWatcher(store, state, node.feed),
         RecordPublisher(store, state, node.feed),
+        granter.leases,
         SettingsWatcher(path, state),
     ]
     stop_requested = asyncio.Event()
--- /dev/null
+++ b/gypsumlock/quota/parts.py
@@ -0,0 +1,93 @@
+"""Divides an organisation's quota into parts, so that the sum stays within the bound.
+
+Each part belongs to one granting slot, whose holder keeps a token bucket for it. All
+nodes compute the same division from the limit, without exchanging messages. Three parts
+leave two thirds of the quota while the holder of one slot is gone; usual demand is
+1 / 1.6 of the quota.
+
+Proof of the bound. Let a limit have the rate r and the burst b, and be divided into P
+parts. A part's bucket has the rate r / P and the capacity c = max(b / P, 1). It starts
+empty, holds at most c, and what it grants in a time T is at most c + r T / P. A new
+holder starts with an empty bucket after the old one has stopped, which is as if the
+bucket had lost tokens. Tokens that are returned unused are entered as if they had never
+been granted (`bucket.py`). A token is used at most a lifetime L after it was granted, as
+its user counts L from before that. So the tokens used in a window W were granted in a
+time of W + L, and there are at most
+
+    P c + r (W + L) <= r W + b + max(0, P - b) + r L
+
+of them. The bound is (r W + b) (1 + e) + a, with the excess e and the allowance a. It
+holds if max(0, P - b) + r L <= e (r W + b) + a. `part_count` returns the largest P for
+which this is so. L is a quarter of e W, so r L uses a quarter of the excess at most; the
+rest is left for the time between the charge of a call and its arrival.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from gypsumlock.mesh.model import Organisation
+from gypsumlock.mesh.state import QuotaBounds
+from gypsumlock.pair_hash import rendezvous_score
+
+__all__ = [
+    "SLOT_COUNT",
+    "PartLimit",
+    "grant_lifetime_s",
+    "part_count",
+    "part_limit",
+    "part_slots",
+    "slot_lease",
+]
+
+# Number of granting slots. All nodes must use the same one: with another, a part would
+# belong to another slot, and be granted twice.
+SLOT_COUNT = 12
+MAX_PARTS = 3
+MAX_LIFETIME_S = 0.25
+# Share of the excess that the lifetime of grants takes.
+LIFETIME_SHARE = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class PartLimit:
+    """Limit of one part: tokens per second, and the capacity of its bucket."""
+
+    rate_per_s: float
+    capacity: float
+
+
+def grant_lifetime_s(bounds: QuotaBounds) -> float:
+    """Return how long a token may be used after it was requested, in seconds."""
+    return min(MAX_LIFETIME_S, LIFETIME_SHARE * bounds.excess * bounds.window_s)
+
+
+def part_count(rate_per_s: float, burst: float, bounds: QuotaBounds) -> int:
+    """Return the number of parts of a limit."""
+    tolerance = bounds.excess * (rate_per_s * bounds.window_s + burst)
+    tolerance += bounds.allowance - rate_per_s * grant_lifetime_s(bounds)
+    parts = MAX_PARTS
+    while parts > 1 and max(0.0, parts - burst) > tolerance:
+        parts -= 1
+    return parts
+
+
+def part_limit(rate_per_s: float, burst: float, bounds: QuotaBounds) -> PartLimit:
+    """Return the limit of each part of a limit."""
+    parts = part_count(rate_per_s, burst, bounds)
+    return PartLimit(rate_per_s / parts, max(1.0, burst / parts))
+
+
+def part_slots(organisation: Organisation, bounds: QuotaBounds) -> tuple[int, ...]:
+    """Return the granting slots of an organisation's parts."""
+    count = part_count(organisation.rate_per_s, organisation.burst, bounds)
+    slots = sorted(
+        range(SLOT_COUNT),
+        key=lambda slot: rendezvous_score(organisation.name, slot_lease(slot)),
+    )
+    return tuple(slots[:count])
+
+
+def slot_lease(slot: int) -> str:
+    """Return the name of the lease of a granting slot."""
+    return f"quota-{slot}"
--- /dev/null
+++ b/gypsumlock/quota/slots.py
@@ -0,0 +1,215 @@
+"""Which nodes try to hold a granting slot, and which node is asked for its tokens.
+
+The candidates of a slot are ordered by rendezvous hashing over the serving nodes. The
+first two always try to hold it; a later one does while other nodes ask it, which they
+do if those before it don't answer. So a slot finds a holder however many nodes are
+gone, and only two nodes for each slot call the store while all is well.
+
+The load it is for: a fleet that starts one node after another, so that the order
+changes often; and machines that vanish while their records still say that they serve.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Sequence
+
+from gypsumlock.pair_hash import rendezvous_score
+from gypsumlock.quota.parts import SLOT_COUNT, slot_lease
+
+__all__ = ["HolderLocator", "SlotOrder", "is_candidate"]
+
+# Candidates that always try to hold a slot.
+FIRST_CANDIDATES = 2
+# Candidates further behind release a slot, so that a node which was the first one to
+# start does not keep all of them.
+HOLDING_CANDIDATES = 4
+# Time for which a later candidate tries after it was asked, in seconds.
+ASKED_PERIOD_S = 10.0
+# Number of nodes in the order of each slot.
+ORDER_LENGTH = 16
+# Time for which a node that doesn't hold the slot is not asked again, in seconds.
+NOT_HOLDER_PERIOD_S = 0.5
+# The same for one that does not answer: initial and maximum.
+MIN_SILENT_PERIOD_S = 0.25
+MAX_SILENT_PERIOD_S = 2.0
+# Time without an answer after which a node counts as silent, in seconds.
+SILENCE_S = 0.3
+# Nodes asked in turn before the slot counts as vacant, and the time until it is sought
+# again, in seconds.
+MAX_REDIRECTS = 3
+VACANT_PERIOD_S = 0.25
+# Time for which a fencing token outdates lower ones, in seconds. Their holders have
+# stopped long before; a row that was lost from the store starts with lower tokens.
+TOKEN_PERIOD_S = 20.0
+
+
+def is_candidate(
+    rank: int | None, is_holder: bool, asked_at_s: float, now_s: float
+) -> bool:
+    """Return whether a node should try to hold a slot.
+
+    Parameters
+    ----------
+    rank : int | None
+        Place in the slot's order, from 0; None if the node is not in it.
+    is_holder : bool
+        Whether the node holds the slot.
+    asked_at_s : float
+        When another node last asked it for tokens of the slot.
+    now_s : float
+        The time.
+    """
+    if rank is None:
+        return False
+    if is_holder and rank < HOLDING_CANDIDATES:
+        return True
+    return rank < FIRST_CANDIDATES or now_s - asked_at_s < ASKED_PERIOD_S
+
+
+class SlotOrder:
+    """Order of the candidates of each slot."""
+
+    __slots__ = ("_nodes", "_orders", "_scores")
+
+    def __init__(self) -> None:
+        self._nodes: Sequence[str] = ()
+        # Scores by node and slot: computed once for each node.
+        self._scores: dict[str, list[bytes]] = {}
+        self._orders: list[list[str]] = [[] for _ in range(SLOT_COUNT)]
+
+    def update(self, nodes: Sequence[str]) -> None:
+        """Replace the nodes that are serving; an unchanged sequence costs nothing."""
+        if nodes is self._nodes:
+            return
+        self._nodes = nodes
+        leases = [slot_lease(slot) for slot in range(SLOT_COUNT)]
+        self._scores = {
+            node: self._scores.get(node)
+            or [rendezvous_score(lease, node) for lease in leases]
+            for node in nodes
+        }
+        self._orders = [
+            heapq.nsmallest(
+                ORDER_LENGTH, nodes, key=lambda node: self._scores[node][slot]
+            )
+            for slot in range(SLOT_COUNT)
+        ]
+
+    def nodes(self, slot: int) -> Sequence[str]:
+        """Return the first candidates of a slot, in order."""
+        return self._orders[slot]
+
+    def rank(self, slot: int, node: str) -> int | None:
+        """Return the place of a node in the order of a slot, or None."""
+        order = self._orders[slot]
+        return order.index(node) if node in order else None
+
+
+class HolderLocator:
+    """Finds the holder of one slot, by asking candidates and following their hints."""
+
+    __slots__ = (
+        "_avoided_until_s",
+        "_holder",
+        "_redirects",
+        "_silent_for_s",
+        "_token",
+        "_token_at_s",
+        "_unanswered_since_s",
+        "vacant_until_s",
+    )
+
+    def __init__(self) -> None:
+        self._holder: str | None = None
+        # Nodes that are not asked, each until a time.
+        self._avoided_until_s: dict[str, float] = {}
+        # Oldest request to each node that it has not answered, by node.
+        self._unanswered_since_s: dict[str, float] = {}
+        self._silent_for_s: dict[str, float] = {}
+        self._redirects = 0
+        self._token = 0
+        self._token_at_s = float("-inf")
+        # No node is asked before this time.
+        self.vacant_until_s = float("-inf")
+
+    @property
+    def token(self) -> int:
+        """Highest fencing token of an accepted grant; 0 if there was none."""
+        return self._token
+
+    @property
+    def redirected(self) -> bool:
+        """Whether the last node asked did not hold the slot, or did not answer."""
+        return self._redirects > 0
+
+    def target(self, order: Sequence[str], now_s: float) -> str | None:
+        """Return the node to ask, or None if there is none now."""
+        if now_s < self.vacant_until_s:
+            return None
+        if self._holder is not None and self._may_ask(self._holder, now_s):
+            return self._holder
+        return next((node for node in order if self._may_ask(node, now_s)), None)
+
+    def _may_ask(self, node: str, now_s: float) -> bool:
+        return self._avoided_until_s.get(node, 0.0) <= now_s
+
+    def record_asked(self, node: str, now_s: float) -> None:
+        """Record that a request was sent to a node."""
+        self._unanswered_since_s.setdefault(node, now_s)
+
+    def accept(self, node: str, token: int, now_s: float) -> bool:
+        """Record a grant of a node; return False if its token is outdated."""
+        self._record_answer(node)
+        if token < self._token and now_s - self._token_at_s < TOKEN_PERIOD_S:
+            self._avoid(node, NOT_HOLDER_PERIOD_S, now_s)
+            return False
+        self._token = token
+        self._token_at_s = now_s
+        self._holder = node
+        self._redirects = 0
+        return True
+
+    def record_not_holder(self, node: str, hint: str, now_s: float) -> None:
+        """Record that a node does not hold the slot, and which one it names."""
+        self._record_answer(node)
+        self._avoid(node, NOT_HOLDER_PERIOD_S, now_s)
+        if hint and hint != node:
+            self._holder = hint
+        self._count_redirect(now_s)
+
+    def record_timeout(self, node: str, now_s: float) -> bool:
+        """Record that a node has not answered in time.
+
+        Return whether it counts as silent now.
+        """
+        since_s = self._unanswered_since_s.get(node, now_s)
+        if now_s - since_s < SILENCE_S:
+            return False
+        self.record_unreachable(node, now_s)
+        return True
+
+    def record_unreachable(self, node: str, now_s: float) -> None:
+        """Record that a node can't be reached."""
+        period_s = self._silent_for_s.get(node, MIN_SILENT_PERIOD_S)
+        self._silent_for_s[node] = min(MAX_SILENT_PERIOD_S, 2 * period_s)
+        self._unanswered_since_s.pop(node, None)
+        self._avoid(node, period_s, now_s)
+        self._count_redirect(now_s)
+
+    def _record_answer(self, node: str) -> None:
+        self._unanswered_since_s.pop(node, None)
+        self._silent_for_s.pop(node, None)
+
+    def _avoid(self, node: str, period_s: float, now_s: float) -> None:
+        if self._holder == node:
+            self._holder = None
+        avoided = self._avoided_until_s
+        avoided[node] = now_s + period_s
+        for other in [x for x, until_s in avoided.items() if until_s <= now_s]:
+            del avoided[other]
+
+    def _count_redirect(self, now_s: float) -> None:
+        self._redirects += 1
+        if self._redirects % MAX_REDIRECTS == 0:
+            self.vacant_until_s = now_s + VACANT_PERIOD_S
