Pass grants to the asking node without a new listener method

Stand-ins of tests implement ProtocolListener; the protocol has a callback in its place. Also: buckets stay within bounds that leave no room for a grant's lifetime.

--- a/gypsumlock/mesh/call_charger.py
+++ b/gypsumlock/mesh/call_charger.py
@@ -8,7 +8,8 @@
 
 from gypsumlock.mesh.call_classifier import Call
 from gypsumlock.mesh.state import MeshState
-from gypsumlock.quota.client import QuotaClient, QuotaRefusal
+from gypsumlock.quota.account import QuotaRefusal
+from gypsumlock.quota.client import QuotaClient
 
 __all__ = ["CallCharger"]
 
--- a/gypsumlock/mesh/caller_protocol.py
+++ b/gypsumlock/mesh/caller_protocol.py
@@ -68,10 +68,6 @@
     def store_load_report(self, load: OwnerLoad) -> None:
         """Store an unsolicited load report."""
 
-    @abstractmethod
-    def receive_grant(self, grant: Grant) -> None:
-        """Use a grant of the node."""
-
     @abstractmethod
     def forget_protocol(self, protocol: CallerProtocol) -> None:
         """Drop the reference to a protocol whose connection is closed."""
@@ -90,7 +86,13 @@
         Counts the parts of answers that have arrived; None for an account of its own.
     """
 
-    __slots__ = ("_listener", "_ping_sent_at_s", "pending", "round_trip")
+    __slots__ = (
+        "_listener",
+        "_ping_sent_at_s",
+        "on_grant",
+        "pending",
+        "round_trip",
+    )
 
     def __init__(
         self,
@@ -104,6 +106,8 @@
         # When each unanswered ping was sent, by its number.
         self._ping_sent_at_s: dict[int, float] = {}
         self.round_trip = RoundTripEstimator()
+        # Receives the grants of the node; None if they are ignored.
+        self.on_grant: Callable[[Grant], None] | None = None
 
     def handle_message(self, message: Message) -> None:
         """Dispatch an outcome, a chunk of a response, a load report or a pong."""
@@ -122,7 +126,8 @@
         elif isinstance(message, LoadReport):
             self._listener.store_load_report(message.load)
         elif isinstance(message, Grant):
-            self._listener.receive_grant(message)
+            if self.on_grant is not None:
+                self.on_grant(message)
         elif isinstance(message, Pong) and message.number in self._ping_sent_at_s:
             sent_at_s = self._ping_sent_at_s.pop(message.number)
             self.round_trip.add_sample(self.loop.time() - sent_at_s)
--- a/gypsumlock/mesh/peer_connection.py
+++ b/gypsumlock/mesh/peer_connection.py
@@ -177,11 +177,6 @@
         """Store an unsolicited load report."""
         self.load = load
 
-    def receive_grant(self, grant: Grant) -> None:
-        """Pass a grant on to its user."""
-        if self.on_grant is not None:
-            self.on_grant(grant)
-
     def forget_protocol(self, protocol: CallerProtocol) -> None:
         """Drop the reference to a protocol whose connection is closed."""
         self._silent_protocols.discard(protocol)
@@ -220,6 +215,7 @@
                 )
         except (OSError, TimeoutError):
             return None
+        protocol.on_grant = self.on_grant
         self._protocol = protocol
         return protocol
 
--- a/gypsumlock/quota/parts.py
+++ b/gypsumlock/quota/parts.py
@@ -10,16 +10,18 @@
 empty, holds at most c, and what it grants in a time T is at most c + r T / P. A new
 holder starts with an empty bucket after the old one has stopped, which is as if the
 bucket had lost tokens. Tokens that are returned unused are entered as if they had never
-been granted (`bucket.py`). A token is used at most a lifetime L after it was granted, as
-its user counts L from before that. So the tokens used in a window W were granted in a
-time of W + L, and there are at most
+been granted (`bucket.py`). A token is used at most a lifetime L after it was granted,
+as its user counts L from before that. So the tokens used in a window W were granted in
+a time of W + L, and there are at most
 
     P c + r (W + L) <= r W + b + max(0, P - b) + r L
 
 of them. The bound is (r W + b) (1 + e) + a, with the excess e and the allowance a. It
 holds if max(0, P - b) + r L <= e (r W + b) + a. `part_count` returns the largest P for
-which this is so. L is a quarter of e W, so r L uses a quarter of the excess at most; the
-rest is left for the time between the charge of a call and its arrival.
+which this is so. L is a quarter of e W, so r L uses a quarter of the excess at most;
+the rest is left for the time between the charge of a call and its arrival. Where the
+settings allow so little that the condition fails even for one part, the rate of the
+bucket is lowered until the sum is within the bound.
 """
 
 from __future__ import annotations
@@ -45,6 +47,10 @@
 SLOT_COUNT = 12
 MAX_PARTS = 3
 MAX_LIFETIME_S = 0.25
+# A shorter one would end before the grant arrives.
+MIN_LIFETIME_S = 0.02
+# Lowest rate of a bucket, in tokens per second.
+MIN_RATE_PER_S = 1e-6
 # Share of the excess that the lifetime of grants takes.
 LIFETIME_SHARE = 0.25
 
@@ -59,7 +65,8 @@
 
 def grant_lifetime_s(bounds: QuotaBounds) -> float:
     """Return how long a token may be used after it was requested, in seconds."""
-    return min(MAX_LIFETIME_S, LIFETIME_SHARE * bounds.excess * bounds.window_s)
+    lifetime_s = LIFETIME_SHARE * bounds.excess * bounds.window_s
+    return min(MAX_LIFETIME_S, max(MIN_LIFETIME_S, lifetime_s))
 
 
 def part_count(rate_per_s: float, burst: float, bounds: QuotaBounds) -> int:
@@ -75,6 +82,10 @@
 def part_limit(rate_per_s: float, burst: float, bounds: QuotaBounds) -> PartLimit:
     """Return the limit of each part of a limit."""
     parts = part_count(rate_per_s, burst, bounds)
+    bound = (rate_per_s * bounds.window_s + burst) * (1 + bounds.excess)
+    allowed = bound + bounds.allowance - max(burst, parts)
+    max_rate_per_s = allowed / (bounds.window_s + grant_lifetime_s(bounds))
+    rate_per_s = max(MIN_RATE_PER_S, min(rate_per_s, max_rate_per_s))
     return PartLimit(rate_per_s / parts, max(1.0, burst / parts))
 
 
