--- a/gypsumlock/quota/account.py
+++ b/gypsumlock/quota/account.py
@@ -20,6 +20,8 @@
 
 # Retry-After while no granting node can be reached, in seconds.
 UNAVAILABLE_RETRY_S = 0.5
+# Retry-After of a call that has waited in vain for a token, in seconds.
+MIN_RETRY_S = 0.1
 # Age of the last grant that is logged at most, in seconds.
 MAX_LOGGED_AGE_S = 999.0
 
@@ -115,9 +117,9 @@
     def _refuse(self, waiter: Waiter, more_at_s: list[float], now_s: float) -> None:
         if waiter.future.done():
             return
-        if more_at_s:
+        if self.balance.is_exhausted(now_s):
             code = ResultCode.CALL_OVER_QUOTA
-            retry_after_s = more_at_s[0] - now_s
+            retry_after_s = more_at_s[0] - now_s if more_at_s else MIN_RETRY_S
         else:
             code = ResultCode.CALL_QUOTA_UNAVAILABLE
             retry_after_s = UNAVAILABLE_RETRY_S
--- a/gypsumlock/quota/balance.py
+++ b/gypsumlock/quota/balance.py
@@ -24,6 +24,9 @@
 DEMAND_TIME_CONSTANT_S = 0.5
 # Share of the expected demand of a lifetime below which more is asked for ahead.
 REFILL_SHARE = 0.5
+# Time after which an exhausted part was expected to have more, and for which calls that
+# get no token still count as over the quota, in seconds.
+EXHAUSTED_MEMORY_S = 1.0
 # Maximum number of returns that wait for a request to one slot.
 MAX_RETURNS = 8
 
@@ -229,6 +232,11 @@
         """Record that a part has granted all that was asked for."""
         self._exhausted_until_s.pop(slot, None)
 
+    def is_exhausted(self, now_s: float) -> bool:
+        """Return whether a part was found to be exhausted a short time ago."""
+        recent_s = now_s - EXHAUSTED_MEMORY_S
+        return any(self._exhausted_until_s.get(x, 0.0) > recent_s for x in self.slots)
+
     def more_at_s(self, now_s: float) -> list[float]:
         """Return when each exhausted part is expected to have more, in order."""
         times_s = [self._exhausted_until_s.get(slot, 0.0) for slot in self.slots]
