--- a/gypsumlock/mesh/caller_protocol.py
+++ b/gypsumlock/mesh/caller_protocol.py
@@ -25,6 +25,7 @@
     Refusal,
     peer_lost_failure,
 )
+from gypsumlock.mesh.quota_messages import Grant
 from gypsumlock.mesh.round_trip import RoundTripEstimator
 from gypsumlock.result_codes import ResultCode
 
@@ -85,7 +86,13 @@
         Counts the parts of answers that have arrived; None for an account of its own.
     """
 
-    __slots__ = ("_listener", "_ping_sent_at_s", "pending", "round_trip")
+    __slots__ = (
+        "_listener",
+        "_ping_sent_at_s",
+        "on_grant",
+        "pending",
+        "round_trip",
+    )
 
     def __init__(
         self,
@@ -99,6 +106,8 @@
         # When each unanswered ping was sent, by its number.
         self._ping_sent_at_s: dict[int, float] = {}
         self.round_trip = RoundTripEstimator()
+        # Receives the grants of the node; None if they are ignored.
+        self.on_grant: Callable[[Grant], None] | None = None
 
     def handle_message(self, message: Message) -> None:
         """Dispatch an outcome, a chunk of a response, a load report or a pong."""
@@ -116,6 +125,9 @@
                 self.memory.answers.hold(len(message.body))
         elif isinstance(message, LoadReport):
             self._listener.store_load_report(message.load)
+        elif isinstance(message, Grant):
+            if self.on_grant is not None:
+                self.on_grant(message)
         elif isinstance(message, Pong) and message.number in self._ping_sent_at_s:
             sent_at_s = self._ping_sent_at_s.pop(message.number)
             self.round_trip.add_sample(self.loop.time() - sent_at_s)
