Take removed API keys out of use, also for calls that wait

Cause: a call that waited for a slot was still sent after its key was removed, and a node without contact to any source of versions could not be told to refuse keys. Change: a new route table withdraws the waiting calls of unknown keys, which are answered 401 if nothing was sent; on public routes they go on without an organisation. An owner refuses a withdrawn call that it has not begun yet. Heartbeats between nodes carry the age of the sender's knowledge, so that strict bounds hold from the last answer of the store; what was received before a pause counts as old. Ruled out: trusting the time at which a heartbeat is handled (a paused node would take buffered ones for new); the removal of waiting calls by their owners (they hold no keys).

--- a/gypsumlock/mesh/call_classifier.py
+++ b/gypsumlock/mesh/call_classifier.py
@@ -15,7 +15,7 @@
 from gypsumlock.mesh.request_age import RequestAgeEstimator
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.mesh.weighted_round_robin import WeightedRoundRobin
-from gypsumlock.organisations import identify, mark_headers
+from gypsumlock.organisations import ANONYMOUS, identify, mark_headers
 from gypsumlock.result_codes import ResultCode
 
 __all__ = ["Call", "CallClassifier"]
@@ -106,6 +106,8 @@
         if self._state.memory.is_high():
             return ResultCode.CALL_NO_MEMORY
         identity = identify(table, route, request.header(names.authorization))
+        if identity is not ANONYMOUS and self._state.is_config_outdated():
+            return ResultCode.CALL_CONFIG_OUTDATED
         if isinstance(identity, ResultCode):
             return identity
         header_names = self._state.header_names
--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -25,6 +25,7 @@
 from gypsumlock.mesh.directory import UpstreamDirectory
 from gypsumlock.mesh.http_messages import HttpRequest
 from gypsumlock.mesh.http_server import HttpHandler, ServerConnection
+from gypsumlock.mesh.key_revocation import KeyRevocation
 from gypsumlock.mesh.model import (
     Answer,
     CallOutcome,
@@ -86,6 +87,7 @@
         "_metrics",
         "_responder",
         "_retry_budgets",
+        "_revocation",
         "_selector",
         "_state",
         "_timeouts",
@@ -106,6 +108,7 @@
         self._responder = CallResponder(state.header_names.request_id, metrics, rng)
         self._loop = asyncio.get_running_loop()
         self._classifier = CallClassifier(state)
+        self._revocation = KeyRevocation(state, directory)
         self._retry_budgets = RetryBudgets(state.bounds.retry_window_s)
         # Mean total size of request and response by route, in bytes.
         self._mean_call_bytes: RecentTable[str, float] = RecentTable()
@@ -141,7 +144,8 @@
         elif call.outcome_unknown:
             self._responder.fail_call(call, connection, ResultCode.CALL_UNKNOWN_OUTCOME)
         else:
-            self._responder.fail_call(call, connection, call.refusal_code)
+            code = self._revocation.refusal_code(call)
+            self._responder.fail_call(call, connection, code)
 
     def limit_deadlines(self) -> None:
         """Move the deadlines of all calls before the end of a stopping process.
@@ -232,6 +236,8 @@
                 left_s = call.deadline_at_s - self._loop.time()
                 if left_s < MIN_TIME_LEFT_S or self._state.dispatch_stopped:
                     return None
+                if not self._revocation.may_send(call):
+                    return None
                 outcome = await self._attempt(call, view, late_ok)
                 if not isinstance(outcome, Refusal) or outcome.rejected_by_upstream:
                     self._record_sent(call, view)
@@ -292,12 +298,14 @@
         load_age_s = now_s - view.load_at_s
         in_flight = view.in_flight(now_s)
         view.outstanding += 1
+        self._revocation.begin(call, view, request)
         try:
             outcome = await self._directory.send(
                 view, request, lambda: self._may_fail_over(call, view)
             )
         finally:
             view.outstanding -= 1
+            self._revocation.end(request)
         self._record_outcome(call, view, outcome)
         log.info(
             "call offered",
--- a/gypsumlock/mesh/config_watcher.py
+++ b/gypsumlock/mesh/config_watcher.py
@@ -76,6 +76,10 @@
             if row.key == self._key and row.value is not None:
                 self._apply_config(row.value)
 
+    def _confirm(self, at_s: float) -> None:
+        """Record the contact with the store."""
+        self._feed.confirm_config(at_s)
+
     def _apply_config(self, value: bytes) -> None:
         decoded = self._decode(value)
         if isinstance(decoded, Err):
--- a/gypsumlock/mesh/directory.py
+++ b/gypsumlock/mesh/directory.py
@@ -107,6 +107,13 @@
             return await self._owner.run_call(request)
         return await self.connection_to(view.node).call(request, may_fail_over)
 
+    def withdraw(self, view: UpstreamView, request: CallRequest) -> None:
+        """Ask the owner of an upstream to refuse a call, if it is still queued."""
+        if view.node == self._state.node:
+            self._owner.withdraw(request)
+        elif view.node in self._connections:
+            self._connections[view.node].withdraw(request)
+
     def withdraw_queued_calls(self) -> None:
         """Ask every owner to refuse the calls of this node that are still queued."""
         self._owner.withdraw_all()
--- a/gypsumlock/mesh/feed_follower.py
+++ b/gypsumlock/mesh/feed_follower.py
@@ -14,6 +14,7 @@
 
 from gypsumlock.controller import Controller
 from gypsumlock.logs import Component, get_logger
+from gypsumlock.mesh.boot_clock import boot_time_s
 from gypsumlock.mesh.feed_messages import (
     ConfigSnapshot,
     FeedHeartbeat,
@@ -33,6 +34,7 @@
 from gypsumlock.mesh.memory_account import MemoryAccount
 from gypsumlock.mesh.model import UpstreamRecord
 from gypsumlock.mesh.state import MeshState
+from gypsumlock.organisations import HeartbeatTimes
 
 __all__ = ["FeedFollower"]
 
@@ -74,6 +76,7 @@
 
     __slots__ = (
         "_feed",
+        "_heartbeat_times",
         "_resync_at_s",
         "_store_connected_at_s",
         "closed",
@@ -91,6 +94,7 @@
         self.closed = False
         self._store_connected_at_s = self.loop.time()
         self._resync_at_s = 0.0
+        self._heartbeat_times = HeartbeatTimes(boot_time_s())
 
     def request_updates(self) -> None:
         """Ask for everything that is newer than this node's state."""
@@ -148,6 +152,11 @@
         if heartbeat.store_connected:
             self._store_connected_at_s = self.loop.time()
         feed = self._feed
+        sent_at_s = self._heartbeat_times.next(boot_time_s())
+        if heartbeat.store_connected and (
+            heartbeat.config_version <= feed.config_version
+        ):
+            feed.confirm_config(sent_at_s - heartbeat.config_age_s)
         if heartbeat.records_synced_version and feed.records_cursor.loaded:
             feed.records_cursor.advance(heartbeat.records_synced_version)
         if heartbeat.config_version <= feed.config_version:
--- a/gypsumlock/mesh/feed_messages.py
+++ b/gypsumlock/mesh/feed_messages.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from gypsumlock.logs import Component, get_logger
-from gypsumlock.mesh.field_types import DECODE_ERRORS, Number
+from gypsumlock.mesh.field_types import DECODE_ERRORS, Duration, Number
 from gypsumlock.mesh.model import (
     ClientLimits,
     MeshConfig,
@@ -120,6 +120,9 @@
     # Versions of the store up to which the sender has followed each table.
     config_synced_version: Number
     records_synced_version: Number
+    # Time since the sender last knew that it has the newest configuration version, in
+    # seconds; 0 without bounds on the removal of API keys.
+    config_age_s: Duration = 0.0
 
 
 def compute_checksum(config: MeshConfig) -> int:
--- a/gypsumlock/mesh/feed_relay.py
+++ b/gypsumlock/mesh/feed_relay.py
@@ -14,6 +14,7 @@
 import anyio
 
 from gypsumlock.controller import Controller
+from gypsumlock.mesh.boot_clock import boot_time_s
 from gypsumlock.mesh.feed_messages import (
     ConfigSnapshot,
     FeedHeartbeat,
@@ -146,9 +147,13 @@
 
     def _build_heartbeat(self) -> FeedHeartbeat:
         feed = self._feed
+        config_age_s = 0.0
+        if self._state.bounds.revocation is not None:
+            config_age_s = self._state.config_contact.age_s(boot_time_s())
         return FeedHeartbeat(
             store_connected=feed.is_connected_to_store() and not self._state.stopping,
             config_version=feed.config_version,
             config_synced_version=feed.config_cursor.synced_version,
             records_synced_version=feed.records_cursor.synced_version,
+            config_age_s=config_age_s,
         )
--- a/gypsumlock/mesh/fleet_feed.py
+++ b/gypsumlock/mesh/fleet_feed.py
@@ -140,6 +140,16 @@
         """Return whether the last call to the store failed, for either table."""
         return not (self.config_cursor.reachable and self.records_cursor.reachable)
 
+    def confirm_config(self, at_s: float) -> None:
+        """Record that no version newer than the one in force existed at a time.
+
+        Parameters
+        ----------
+        at_s : float
+            Time of the boot clock.
+        """
+        self._state.config_contact.confirm(at_s)
+
     def apply_config(self, config: MeshConfig, source: str) -> bool:
         """Put a configuration version in force; return False if it isn't newer.
 
--- a/gypsumlock/mesh/model.py
+++ b/gypsumlock/mesh/model.py
@@ -32,6 +32,7 @@
 from gypsumlock.result_codes import ResultCode
 
 __all__ = [
+    "EXPIRED_S",
     "Answer",
     "CallOutcome",
     "CallRequest",
@@ -55,6 +56,10 @@
 ]
 
 
+# Time left of a call that must not begin any more, in seconds.
+EXPIRED_S = -1.0
+
+
 @dataclass(frozen=True, slots=True)
 class HeaderNames:
     """Lower-case names of the headers that the data path reads or sets."""
--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -11,7 +11,14 @@
 from gypsumlock.logs import Component, get_logger
 from gypsumlock.mesh.admission import DEADLINE_MARGIN_FACTOR, AdmissionQueue
 from gypsumlock.mesh.call_handler import CallHandler
-from gypsumlock.mesh.model import Answer, CallOutcome, CallRequest, OwnerLoad, Refusal
+from gypsumlock.mesh.model import (
+    EXPIRED_S,
+    Answer,
+    CallOutcome,
+    CallRequest,
+    OwnerLoad,
+    Refusal,
+)
 from gypsumlock.mesh.pacer import CHUNK_BYTES
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.mesh.ticket import AdmissionDecision, Ticket, TicketState
@@ -135,6 +142,9 @@
         ticket = self._tickets.get(id(request))
         if ticket is not None:
             self._withdraw_ticket(ticket)
+        else:
+            # If it has not begun yet, it is refused then.
+            request.deadline_left_s = EXPIRED_S
 
     def withdraw_all(self) -> None:
         """Refuse every call that still waits for a slot."""
--- a/gypsumlock/mesh/peer_connection.py
+++ b/gypsumlock/mesh/peer_connection.py
@@ -23,6 +23,7 @@
 from gypsumlock.mesh.link_meter import LinkMeter
 from gypsumlock.mesh.memory_account import MemoryAccount
 from gypsumlock.mesh.model import (
+    EXPIRED_S,
     CallOutcome,
     CallRequest,
     OwnerLoad,
@@ -141,6 +142,15 @@
             self._give_up_connection(protocol)
         return False
 
+    def withdraw(self, request: CallRequest) -> None:
+        """Ask the other node to refuse a call, if it still waits for a slot."""
+        if request.number == 0:
+            # It waits for the connection; the other node refuses it once it is sent.
+            request.deadline_left_s = EXPIRED_S
+        for protocol in self.protocols():
+            if request.number in protocol.pending:
+                protocol.send(Withdraw(request.number))
+
     def withdraw_queued_calls(self) -> None:
         """Ask the other node to refuse every call that still waits for a slot."""
         for protocol in self.protocols():
--- a/gypsumlock/mesh/state.py
+++ b/gypsumlock/mesh/state.py
@@ -6,8 +6,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
+from gypsumlock.mesh.boot_clock import boot_time_s
 from gypsumlock.mesh.link_meter import LinkMeter, usable_mbps
 from gypsumlock.mesh.memory_account import MemoryAccount
 from gypsumlock.mesh.model import HeaderNames, NodeAddresses, UpstreamRecord
@@ -15,6 +17,7 @@
 from gypsumlock.mesh.published_record import PublishedRecord
 from gypsumlock.mesh.route_table import RouteTable
 from gypsumlock.mesh.upstream_registry import UpstreamRegistry
+from gypsumlock.organisations.config_contact import ConfigContact
 
 __all__ = [
     "MeshBounds",
@@ -168,6 +171,7 @@
     __slots__ = (
         "addresses",
         "bounds",
+        "config_contact",
         "configured",
         "directory_loaded",
         "dispatch_stopped",
@@ -183,6 +187,7 @@
         "published",
         "registry",
         "route_table",
+        "route_table_listeners",
         "service",
         "stopping_since_s",
         "upstream_probed",
@@ -226,6 +231,10 @@
         # Set when the first configuration version comes into force.
         self.configured = asyncio.Event()
         self.route_table: RouteTable | None = None
+        # Called whenever another table has come into force.
+        self.route_table_listeners: list[Callable[[], None]] = []
+        # When the configuration in force was last known to be the newest.
+        self.config_contact = ConfigContact()
         # True once the records of the other nodes were read.
         self.directory_loaded = False
         # Monotonic time of the stop request; None before it.
@@ -271,10 +280,22 @@
         table = self.route_table
         return table is None or name == self.service or table.service(name) is not None
 
+    def is_config_outdated(self) -> bool:
+        """Return whether API keys may have been removed for longer than allowed.
+
+        Only with strict bounds, and without contact to a source of versions.
+        """
+        bounds = self.bounds.revocation
+        if bounds is None or not bounds.strict:
+            return False
+        return self.config_contact.age_s(boot_time_s()) > bounds.max_delay_s
+
     def activate_route_table(self, table: RouteTable) -> bool:
         """Replace the table as a whole; return False if the new one isn't newer."""
         if self.route_table is not None and table.version <= self.route_table.version:
             return False
         self.route_table = table
         self.configured.set()
+        for listener in self.route_table_listeners:
+            listener()
         return True
--- a/gypsumlock/mesh/table_watcher.py
+++ b/gypsumlock/mesh/table_watcher.py
@@ -9,6 +9,7 @@
 
 from gypsumlock.controller import Backoff, Controller
 from gypsumlock.logs import Component, get_logger
+from gypsumlock.mesh.boot_clock import boot_time_s
 from gypsumlock.mesh.feed_store import FeedStore, TableChanges
 from gypsumlock.mesh.fleet_feed import FleetFeed, TableCursor
 from gypsumlock.result_codes import Fault, ResultCode
@@ -26,6 +27,9 @@
 READER_RETRY_MAX_S = 0.8
 RETRY_BASE_S = 0.6
 RETRY_MAX_S = 1.6
+# Time that the store takes to answer at most, apart from the wait for changes, in
+# seconds. An answer that is handled later may have arrived before a pause.
+MAX_RESPONSE_S = 0.5
 # Time that a node waits at its start for the state of other nodes, in seconds.
 SOURCES_TIMEOUT_S = 0.6
 # Time after which the nodes of a fleet that starts for the first time read the records,
@@ -102,6 +106,7 @@
             await self._feed.sources_ready.wait()
 
     async def _read_table(self) -> None:
+        began_s = boot_time_s()
         snapshot = await self._store.read_table(self._table)
         if isinstance(snapshot, Err):
             await self._back_off(snapshot.err_value)
@@ -112,6 +117,7 @@
         if snapshot.ok_value.version >= self._cursor.synced_version:
             self.replace_rows(snapshot.ok_value)
             self._cursor.advance(snapshot.ok_value.version)
+        self._confirm(min(boot_time_s(), began_s + MAX_RESPONSE_S))
         await self._after_read()
 
     async def _after_read(self) -> None:
@@ -126,6 +132,7 @@
         can_wait = self._cursor.reachable and self._cursor.confirmed
         wait_s = self._wait_s if can_wait else 0.0
         after = self._cursor.synced_version
+        began_s = boot_time_s()
         changes = await self._store.wait_for_changes(self._table, after, wait_s)
         if isinstance(changes, Err):
             if changes.err_value.code is ResultCode.PLATFORM_HISTORY_LOST:
@@ -138,6 +145,7 @@
         if changes.ok_value.rows:
             self.apply_changes(changes.ok_value)
         self._cursor.advance(changes.ok_value.version)
+        self._confirm(min(boot_time_s(), began_s + wait_s + MAX_RESPONSE_S))
         if changes.ok_value.rows:
             is_reader = self._feed.is_reader
             await anyio.sleep(BATCH_DELAY_S if is_reader else self._unfollowed_delay_s)
@@ -150,6 +158,9 @@
     def apply_changes(self, changes: TableChanges) -> None:
         """Apply changed rows."""
 
+    def _confirm(self, at_s: float) -> None:
+        """Handle that all changes until a time of the boot clock were applied."""
+
     async def _back_off(self, fault: Fault) -> None:
         """Mark the store as unreachable and wait before the next call."""
         if self._cursor.reachable:
--- a/gypsumlock/organisations/__init__.py
+++ b/gypsumlock/organisations/__init__.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from gypsumlock.organisations.api_keys import bearer_key, digest_key
+from gypsumlock.organisations.config_contact import ConfigContact, HeartbeatTimes
 from gypsumlock.organisations.identification import (
     ANONYMOUS,
     Identity,
@@ -15,6 +16,8 @@
 
 __all__ = [
     "ANONYMOUS",
+    "ConfigContact",
+    "HeartbeatTimes",
     "Identity",
     "bearer_key",
     "digest_key",
--- a/gypsumlock/result_codes.py
+++ b/gypsumlock/result_codes.py
@@ -70,6 +70,7 @@
     CALL_UNKNOWN_KEY = 94
     CALL_OVER_QUOTA = 95
     CALL_QUOTA_UNAVAILABLE = 96
+    CALL_CONFIG_OUTDATED = 97
 
     OPERATOR_TOKEN_MISSING = 110
     OPERATOR_TOKEN_WRONG = 111
@@ -320,6 +321,12 @@
         "No node that grants quota can be reached",
         "Check the store and the connections between nodes",
     ),
+    _entry(
+        _C.CALL_CONFIG_OUTDATED,
+        503,
+        "The node can't tell whether the API key is still valid",
+        "Check the store and the connections between nodes",
+    ),
     _entry(_C.OPERATOR_TOKEN_MISSING, 401, "No operator token", "Provide the token"),
     _entry(
         _C.OPERATOR_TOKEN_WRONG, 403, "Wrong operator token", "Check the token file"
--- a/tests/standins/mesh_fleet.py
+++ b/tests/standins/mesh_fleet.py
@@ -25,7 +25,7 @@
 from gypsumlock.mesh.node import MeshNode
 from gypsumlock.mesh.record_publisher import RecordPublisher
 from gypsumlock.mesh.record_watcher import RecordWatcher
-from gypsumlock.mesh.state import MeshBounds, MeshState
+from gypsumlock.mesh.state import MeshBounds, MeshState, RevocationBounds
 from gypsumlock.mesh.upstream_registry import Departure, Heartbeat
 from gypsumlock.result_codes import Fault
 from tests.standins.feed_store import MemoryFeedStore, StoreAccess
@@ -151,10 +151,15 @@
     ----------
     first_start : bool
         Whether the nodes are told that the whole fleet starts for the first time.
+    revocation : RevocationBounds | None
+        Bounds on the removal of API keys.
     """
 
-    def __init__(self, first_start: bool = False) -> None:
+    def __init__(
+        self, first_start: bool = False, revocation: RevocationBounds | None = None
+    ) -> None:
         self._first_start = first_start
+        self._revocation = revocation
         self.store = MemoryFeedStore()
         self.hosts: list[MeshHost] = []
         self._pool = httpcore.AsyncConnectionPool(max_connections=200)
@@ -283,7 +288,7 @@
         link_mbps: float = 0.0,
         memory_mb: float = 0.0,
     ) -> MeshHost:
-        bounds = MeshBounds(6.0, 0.2, 56.0, 10.0)
+        bounds = MeshBounds(6.0, 0.2, 56.0, 10.0, revocation=self._revocation)
         state = MeshState(
             name,
             zone,
