Share the slots of a rank fairly between organisations

Change: FairShares orders the waiting calls of a rank by start-time fair queueing; the expected wait on arrival follows that order, and calls that others have displaced so far that they would be late are dropped at once, of the organisation that holds most of the queue. Ruled out: a queue for each organisation (the order by rank, lateness and target would have to be kept twice); shares of free slots (they would leave slots idle). Where the target leaves no time for waiting at all there is no queue, and free slots go to whoever comes first, as before.

--- a/gypsumlock/mesh/admission.py
+++ b/gypsumlock/mesh/admission.py
@@ -21,6 +21,8 @@
 5. Calls are served in order of rank, and within a rank by the earliest target, since
    calls that upstreams make while they hold a slot have the shortest targets. One of
    every `LOWEST_RANK_INTERVAL` slots goes to the lowest waiting rank.
+6. Organisations of one rank get equal shares of the slots that they wait for; see
+   `FairShares`.
 """
 
 from __future__ import annotations
@@ -36,6 +38,7 @@
     SlotDemand,
 )
 from gypsumlock.mesh.ticket import AdmissionDecision, Ticket, TicketState
+from gypsumlock.organisations.fair_queue import FairShares
 
 __all__ = ["DEADLINE_MARGIN_FACTOR", "AdmissionQueue"]
 
@@ -66,6 +69,7 @@
 
     __slots__ = (
         "_accepted_demand",
+        "_fair_shares",
         "_in_flight_by_priority",
         "_last_progress_at_s",
         "_offered_demand",
@@ -81,6 +85,7 @@
         self.in_flight = 0
         self.service_times = ServiceTimes()
         self._waiting: list[Ticket] = []
+        self._fair_shares = FairShares()
         # Free slots since the last one that went to the lowest waiting rank.
         self._slots_since_lowest_rank = 0
         # When a call last ended, or started at an idle upstream.
@@ -123,7 +128,7 @@
             ticket.late = now_s + ticket.service_s > ticket.target_at_s
             self._admit(ticket, now_s)
             return AdmissionDecision(TicketState.ADMITTED)
-        wait_s = self.expected_wait_s(ticket.sort_key(), ticket.priority, now_s)
+        wait_s = self.expected_wait_s(ticket.sort_key(), ticket.priority, now_s, ticket)
         end_at_s = now_s + wait_s + ticket.conservative_service_s
         if end_at_s > ticket.target_at_s:
             if not ticket.late_ok:
@@ -131,7 +136,9 @@
             ticket.late = True
             if self._offered_demand.slots_above(LATE_PRIORITY, now_s) >= self.slots:
                 return self._refuse(ticket, wait_s, now_s)
-            wait_s = self.expected_wait_s(ticket.sort_key(), LATE_PRIORITY, now_s)
+            wait_s = self.expected_wait_s(
+                ticket.sort_key(), LATE_PRIORITY, now_s, ticket
+            )
             max_wait_s = ticket.deadline_at_s - now_s - ticket.service_s
             if wait_s * DEADLINE_MARGIN_FACTOR > max_wait_s:
                 return self._refuse(ticket, wait_s, now_s)
@@ -167,18 +174,25 @@
 
         A call is dropped once it can no longer be answered in time.
         """
-        removed = self._drop_or_demote_late(now_s)
+        removed = self._drop_or_demote_late(now_s) + self._drop_displaced(now_s)
         while self._waiting and self.in_flight < self.slots:
             index = self._next_index(now_s)
             if index is None:
                 break
+            index = self._fair_shares.pick(
+                self._waiting, index, lambda x: self._may_take_slot(x, now_s)
+            )
             ticket = self._waiting.pop(index)
             self._admit(ticket, now_s)
             removed.append(ticket)
         return removed
 
     def expected_wait_s(
-        self, sort_key: tuple[bool, int, float], priority: Priority, now_s: float
+        self,
+        sort_key: tuple[bool, int, float],
+        priority: Priority,
+        now_s: float,
+        ticket: Ticket | None = None,
     ) -> float:
         """Return the expected wait of a call for a slot, in seconds.
 
@@ -193,14 +207,19 @@
             Rank and latency target of the call.
         now_s : float
             Monotonic time.
+        ticket : Ticket | None
+            The call; None if its organisation doesn't matter.
         """
         if self.in_flight < self.slots and not self._waiting:
             return 0.0
-        ahead_s = 0.0
-        for ticket in self._waiting:
-            if ticket.sort_key() > sort_key:
-                break
-            ahead_s += ticket.service_s
+        if ticket is not None and self._has_organisations(ticket):
+            ahead_s = self._fair_shares.work_ahead_s(self._waiting, ticket)
+        else:
+            ahead_s = 0.0
+            for other in self._waiting:
+                if other.sort_key() > sort_key:
+                    break
+                ahead_s += other.service_s
         mean_s = self.service_times.overall_mean_s
         stalled_s = now_s - self._last_progress_at_s - STALL_SERVICE_TIMES * mean_s
         available_slots = max(
@@ -225,6 +244,10 @@
             for rank in range(REPORTED_RANKS)
         )
 
+    def _has_organisations(self, ticket: Ticket) -> bool:
+        """Return whether a call, or one that waits, belongs to an organisation."""
+        return bool(ticket.organisation) or any(x.organisation for x in self._waiting)
+
     def _admit(self, ticket: Ticket, now_s: float) -> None:
         if self.in_flight == 0:
             self._last_progress_at_s = now_s
@@ -300,6 +323,22 @@
             insort(self._waiting, ticket, key=Ticket.sort_key)
         return dropped
 
+    def _drop_displaced(self, now_s: float) -> list[Ticket]:
+        """Drop calls that will be late since other organisations go first.
+
+        They can still be sent to another upstream now.
+        """
+        dropped: list[Ticket] = []
+        for ticket in self._fair_shares.last_of_largest(self._waiting):
+            wait_s = self.expected_wait_s(
+                ticket.sort_key(), ticket.priority, now_s, ticket
+            )
+            end_at_s = now_s + wait_s + ticket.service_s
+            if not ticket.late_ok and end_at_s > ticket.target_at_s:
+                self.withdraw(ticket)
+                dropped.append(ticket)
+        return dropped
+
     def _next_index(self, now_s: float) -> int | None:
         """Return the index of the waiting call that gets a free slot.
 
--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -123,6 +123,7 @@
             target_at_s=now_s + request.target_left_s - transfer_s,
             deadline_at_s=now_s + request.deadline_left_s,
             first_offer=request.first_offer,
+            organisation=request.organisation,
         )
         decision = self._queue.offer(ticket, now_s)
         if decision.state is TicketState.WAITING:
@@ -178,7 +179,7 @@
         wait_s = 0.0
         if ticket.state is TicketState.DROPPED:
             wait_s = self._queue.expected_wait_s(
-                ticket.sort_key(), ticket.priority, self._loop.time()
+                ticket.sort_key(), ticket.priority, self._loop.time(), ticket
             )
         return AdmissionDecision(ticket.state, wait_s)
 
--- a/gypsumlock/mesh/ticket.py
+++ b/gypsumlock/mesh/ticket.py
@@ -36,6 +36,8 @@
     # False if the call was offered to another owner before. Each call counts as demand
     # once, however many owners refuse it.
     first_offer: bool = True
+    # Empty if the call belongs to none.
+    organisation: str = ""
     state: TicketState = TicketState.WAITING
     # True once the latency target can no longer be met.
     late: bool = False
