--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -11,7 +11,14 @@
 from gypsumlock.logs import Component, get_logger
 from gypsumlock.mesh.admission import DEADLINE_MARGIN_FACTOR, AdmissionQueue
 from gypsumlock.mesh.call_handler import CallHandler
-from gypsumlock.mesh.model import Answer, CallOutcome, CallRequest, OwnerLoad, Refusal
+from gypsumlock.mesh.model import (
+    EXPIRED_S,
+    Answer,
+    CallOutcome,
+    CallRequest,
+    OwnerLoad,
+    Refusal,
+)
 from gypsumlock.mesh.pacer import CHUNK_BYTES
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.mesh.ticket import AdmissionDecision, Ticket, TicketState
@@ -116,6 +123,7 @@
             target_at_s=now_s + request.target_left_s - transfer_s,
             deadline_at_s=now_s + request.deadline_left_s,
             first_offer=request.first_offer,
+            organisation=request.organisation,
         )
         decision = self._queue.offer(ticket, now_s)
         if decision.state is TicketState.WAITING:
@@ -135,6 +143,9 @@
         ticket = self._tickets.get(id(request))
         if ticket is not None:
             self._withdraw_ticket(ticket)
+        else:
+            # If it has not begun yet, it is refused then.
+            request.deadline_left_s = EXPIRED_S
 
     def withdraw_all(self) -> None:
         """Refuse every call that still waits for a slot."""
@@ -168,7 +179,7 @@
         wait_s = 0.0
         if ticket.state is TicketState.DROPPED:
             wait_s = self._queue.expected_wait_s(
-                ticket.sort_key(), ticket.priority, self._loop.time()
+                ticket.sort_key(), ticket.priority, self._loop.time(), ticket
             )
         return AdmissionDecision(ticket.state, wait_s)
 
