Answer 503 to calls whose time ends before anything was sent

Cause: a call whose deadline passed while an owner queued it, while the connection to a node or to the upstream was being opened, or while an offer was pending, was answered 504 like one that may have run. A call that was given up because its owner was silent stayed unknown even if the owner had only queued it.

An owner drops a waiting call at least 50 ms before its deadline, so that the refusal arrives in time. Cancelling a call that waits, or whose task has not begun, is answered with a refusal, also for a call that its caller has given up. Opening a connection to the upstream ends at the deadline of the call, without a backoff.

Ruled out: an inquiry to the owner after its connection was lost. Attempts have no identifier that is unique over all clients, and a wrong one would promise falsely; such calls keep status 502.

--- a/gypsumlock/mesh/admission.py
+++ b/gypsumlock/mesh/admission.py
@@ -53,6 +53,9 @@
 DEADLINE_MARGIN_FACTOR = 2.0
 # Shortest retry delay that is returned with a refusal, in seconds.
 MIN_RETRY_AFTER_S = 0.05
+# Shortest time before its deadline at which a waiting call is dropped, in seconds: the
+# time until the next check and for the way of the refusal to the client.
+REFUSAL_LEAD_S = 0.05
 # An upstream counts as stalled if no call ends for this many mean service times.
 STALL_SERVICE_TIMES = 3.0
 # Priority of calls that can only be answered late: less urgent than all on-time calls.
@@ -280,7 +283,8 @@
         demoted: list[Ticket] = []
         kept: list[Ticket] = []
         for ticket in self._waiting:
-            if now_s + ticket.service_s > ticket.deadline_at_s:
+            needed_s = max(ticket.service_s, REFUSAL_LEAD_S)
+            if now_s + needed_s > ticket.deadline_at_s:
                 ticket.state = TicketState.DROPPED
                 dropped.append(ticket)
             elif (
--- a/gypsumlock/mesh/call_classifier.py
+++ b/gypsumlock/mesh/call_classifier.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from gypsumlock.http_headers import Headers, has_conflict
+from gypsumlock.mesh.attempt import Attempt
 from gypsumlock.mesh.http_messages import HttpRequest
 from gypsumlock.mesh.http_text import forwardable_headers
 from gypsumlock.mesh.model import Answer, Organisation, RouteSpec
@@ -43,9 +44,10 @@
     sent_to: set[str] = field(default_factory=set)
     # Nodes that accept no calls for the service, not even for a late response.
     not_accepting: set[str] = field(default_factory=set)
-    # True once an attempt gave no usable response, although the call may have been
-    # executed.
-    outcome_unknown: bool = False
+    # The attempt that has no outcome yet.
+    pending_attempt: Attempt | None = None
+    # Attempts without a usable response; their owners may still refuse them.
+    lost_attempts: list[Attempt] = field(default_factory=list)
     # True while a retry has been charged to the budget, but not sent yet.
     retry_charged: bool = False
     retry_after_s: float = 0.0
@@ -53,6 +55,21 @@
     fallback_answer: Answer | None = None
     refusal_code: ResultCode = ResultCode.CALL_NO_UPSTREAM
 
+    @property
+    def outcome_unknown(self) -> bool:
+        """Whether an attempt without a usable response may have been executed."""
+        return any(attempt.may_have_run for attempt in self.lost_attempts)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have executed the call."""
+        pending = self.pending_attempt
+        return (
+            self.outcome_unknown
+            or self.fallback_answer is not None
+            or (pending is not None and pending.may_have_run)
+        )
+
     @property
     def rank(self) -> int:
         """Rank of the organisation, or else of the route; 0 is the most urgent."""
--- a/gypsumlock/mesh/call_handler.py
+++ b/gypsumlock/mesh/call_handler.py
@@ -17,5 +17,5 @@
         """Run a call and return its outcome; cancelled when the caller cancels it."""
 
     @abstractmethod
-    def withdraw(self, request: CallRequest) -> None:
-        """Refuse a call if it is still waiting for a slot."""
+    def withdraw(self, request: CallRequest) -> bool:
+        """Refuse a call if it is still waiting for a slot; return whether it was."""
--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -20,6 +20,7 @@
 from collections.abc import Sequence
 
 from gypsumlock.logs import Component, get_logger
+from gypsumlock.mesh.attempt import Attempt
 from gypsumlock.mesh.call_classifier import Call, CallClassifier
 from gypsumlock.mesh.call_responder import CallResponder
 from gypsumlock.mesh.directory import UpstreamDirectory
@@ -125,16 +126,21 @@
             return
         timeout = asyncio.timeout_at(call.deadline_at_s + DEADLINE_GRACE_S)
         self._timeouts.add(timeout)
+        withdrawal = self._loop.call_at(
+            call.deadline_at_s - MIN_TIME_LEFT_S, self._withdraw, call
+        )
         try:
             async with timeout:
                 answer = await self._run_with_retries(call)
         except TimeoutError:
-            self._responder.fail_call(call, connection, ResultCode.CALL_DEADLINE)
+            code = ResultCode.CALL_DEADLINE if call.may_have_run else call.refusal_code
+            self._responder.fail_call(call, connection, code)
             return
         except asyncio.CancelledError:
             self._responder.record_call(call, "client disconnected", 0)
             raise
         finally:
+            withdrawal.cancel()
             self._timeouts.discard(timeout)
         if answer is not None:
             self._forward(call, connection, answer)
@@ -143,6 +149,11 @@
         else:
             self._responder.fail_call(call, connection, call.refusal_code)
 
+    def _withdraw(self, call: Call) -> None:
+        """Ask the owner to refuse a call that is still queued at its deadline."""
+        if call.pending_attempt is not None:
+            self._directory.withdraw(call.pending_attempt)
+
     def limit_deadlines(self) -> None:
         """Move the deadlines of all calls before the end of a stopping process.
 
@@ -230,7 +241,7 @@
                 continue
             for view in self._ranked_candidates(call)[:max_offers]:
                 left_s = call.deadline_at_s - self._loop.time()
-                if left_s < MIN_TIME_LEFT_S or self._state.dispatch_stopped:
+                if left_s <= MIN_TIME_LEFT_S or self._state.dispatch_stopped:
                     return None
                 outcome = await self._attempt(call, view, late_ok)
                 if not isinstance(outcome, Refusal) or outcome.rejected_by_upstream:
@@ -290,13 +301,18 @@
         call.offered = True
         load_age_s = now_s - view.load_at_s
         in_flight = view.in_flight(now_s)
+        attempt = Attempt(view.node, request)
+        call.pending_attempt = attempt
         view.outstanding += 1
         try:
             outcome = await self._directory.send(
-                view, request, lambda: self._may_fail_over(call, view)
+                view, attempt, lambda: self._may_fail_over(call, view)
             )
         finally:
             view.outstanding -= 1
+        call.pending_attempt = None
+        if isinstance(outcome, Failure):
+            call.lost_attempts.append(attempt)
         self._record_outcome(call, view, outcome)
         log.info(
             "call offered",
@@ -328,9 +344,7 @@
                 view.eject(now_s)
         else:
             view.record_load(call.route.name, outcome.load, now_s)
-        if isinstance(outcome, Failure):
-            call.outcome_unknown = True
-        elif isinstance(outcome, Refusal) and outcome.rejected_by_upstream:
+        if isinstance(outcome, Refusal) and outcome.rejected_by_upstream:
             self._record_refusal(call, outcome)
 
     # --- phase 5 ---
--- a/gypsumlock/mesh/caller_protocol.py
+++ b/gypsumlock/mesh/caller_protocol.py
@@ -6,6 +6,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
+from gypsumlock.mesh.attempt import Attempt
 from gypsumlock.mesh.frames import (
     AnswerChunk,
     Cancel,
@@ -25,6 +26,7 @@
     Refusal,
     peer_lost_failure,
 )
+from gypsumlock.mesh.recent_table import RecentTable
 from gypsumlock.mesh.round_trip import RoundTripEstimator
 from gypsumlock.result_codes import ResultCode
 
@@ -34,14 +36,16 @@
 class PendingCall:
     """A call that has no outcome yet."""
 
-    __slots__ = ("body", "future", "may_fail_over", "repeatable")
+    __slots__ = ("attempt", "body", "future", "may_fail_over", "repeatable")
 
     def __init__(
         self,
         future: asyncio.Future[CallOutcome],
         repeatable: bool,
         may_fail_over: Callable[[], bool],
+        attempt: Attempt | None = None,
     ) -> None:
+        self.attempt = attempt
         self.future = future
         self.repeatable = repeatable
         self.may_fail_over = may_fail_over
@@ -85,7 +89,13 @@
         Counts the parts of answers that have arrived; None for an account of its own.
     """
 
-    __slots__ = ("_listener", "_ping_sent_at_s", "pending", "round_trip")
+    __slots__ = (
+        "_given_up",
+        "_listener",
+        "_ping_sent_at_s",
+        "pending",
+        "round_trip",
+    )
 
     def __init__(
         self,
@@ -96,6 +106,8 @@
         super().__init__(meter, memory)
         self._listener = listener
         self.pending: dict[int, PendingCall] = {}
+        # Attempts that were given up; the other node may still refuse them.
+        self._given_up: RecentTable[int, Attempt] = RecentTable()
         # When each unanswered ping was sent, by its number.
         self._ping_sent_at_s: dict[int, float] = {}
         self.round_trip = RoundTripEstimator()
@@ -109,6 +121,8 @@
                     pending.body += message.body
                     message.body = bytes(pending.body)
                 pending.resolve(message)
+            elif isinstance(message, Refusal):
+                self._record_refusal(message.number)
         elif isinstance(message, AnswerChunk):
             partial = self.pending.get(message.number)
             if partial is not None:
@@ -127,6 +141,12 @@
             self.memory.answers.release(len(pending.body))
         return pending
 
+    def _record_refusal(self, number: int) -> None:
+        """Record that a call that was given up did not run."""
+        attempt = self._given_up.get(number, None)
+        if attempt is not None:
+            attempt.is_refused = True
+
     def ping(self) -> None:
         """Send a ping."""
         number = self._listener.next_number()
@@ -151,6 +171,8 @@
 
     def _fail_call(self, number: int, pending: PendingCall) -> None:
         self.remove_pending(number)
+        if pending.attempt is not None:
+            self._given_up[number] = pending.attempt
         self.send(Cancel(number))
         pending.resolve(peer_lost_failure(ResultCode.CALL_UNKNOWN_OUTCOME))
 
--- a/gypsumlock/mesh/directory.py
+++ b/gypsumlock/mesh/directory.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable, Sequence
 
 from gypsumlock.logs import Component, get_logger
-from gypsumlock.mesh.model import CallOutcome, CallRequest, UpstreamRecord
+from gypsumlock.mesh.attempt import Attempt
+from gypsumlock.mesh.model import CallOutcome, UpstreamRecord
 from gypsumlock.mesh.owner import UpstreamOwner
 from gypsumlock.mesh.peer_connection import PeerConnection
 from gypsumlock.mesh.placement import UpstreamView
@@ -88,7 +89,7 @@
     async def send(
         self,
         view: UpstreamView,
-        request: CallRequest,
+        attempt: Attempt,
         may_fail_over: Callable[[], bool],
     ) -> CallOutcome:
         """Send a call to the node of an upstream, and return the outcome.
@@ -97,15 +98,24 @@
         ----------
         view : UpstreamView
             The upstream.
-        request : CallRequest
-            The call.
+        attempt : Attempt
+            The attempt of the call.
         may_fail_over : Callable[[], bool]
             Polled while that node is silent; if it returns True, the call fails at
             once.
         """
         if view.node == self._state.node:
-            return await self._owner.run_call(request)
-        return await self.connection_to(view.node).call(request, may_fail_over)
+            attempt.is_with_owner = True
+            return await self._owner.run_call(attempt.request)
+        connection = self.connection_to(view.node)
+        return await connection.call(attempt.request, may_fail_over, attempt)
+
+    def withdraw(self, attempt: Attempt) -> None:
+        """Ask the owner to refuse a call if it has not reached the upstream yet."""
+        if attempt.node == self._state.node:
+            self._owner.withdraw(attempt.request)
+        elif attempt.node in self._connections:
+            self._connections[attempt.node].withdraw(attempt.request)
 
     def withdraw_queued_calls(self) -> None:
         """Ask every owner to refuse the calls of this node that are still queued."""
--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -130,11 +130,12 @@
             )
         return await self._execute(request, ticket)
 
-    def withdraw(self, request: CallRequest) -> None:
-        """Refuse a call if it still waits for a slot."""
+    def withdraw(self, request: CallRequest) -> bool:
         ticket = self._tickets.get(id(request))
-        if ticket is not None:
-            self._withdraw_ticket(ticket)
+        if ticket is None or ticket.state is not TicketState.WAITING:
+            return False
+        self._withdraw_ticket(ticket)
+        return True
 
     def withdraw_all(self) -> None:
         """Refuse every call that still waits for a slot."""
--- a/gypsumlock/mesh/peer_connection.py
+++ b/gypsumlock/mesh/peer_connection.py
@@ -14,6 +14,7 @@
 import asyncio
 from collections.abc import Callable
 
+from gypsumlock.mesh.attempt import Attempt
 from gypsumlock.mesh.caller_protocol import (
     CallerProtocol,
     PendingCall,
@@ -89,7 +90,10 @@
         self.ignore_silence = False
 
     async def call(
-        self, request: CallRequest, may_fail_over: Callable[[], bool]
+        self,
+        request: CallRequest,
+        may_fail_over: Callable[[], bool],
+        attempt: Attempt | None = None,
     ) -> CallOutcome:
         """Send a call and wait for its outcome.
 
@@ -102,7 +106,10 @@
         may_fail_over : Callable[[], bool]
             Called while the other node is silent. If it returns True, the call fails
             at once.
+        attempt : Attempt | None
+            Records whether the other node has received the call.
         """
+        attempt = attempt or Attempt(self.address, request)
         protocol = self._protocol or await self._connect()
         if protocol is None:
             return peer_unreachable_refusal(ResultCode.CALL_UPSTREAM_UNREACHABLE)
@@ -113,9 +120,11 @@
             # The connection was idle, not silent, before this call.
             protocol.last_received_s = protocol.loop.time()
         protocol.pending[number] = PendingCall(
-            future, request.repeatable, may_fail_over
+            future, request.repeatable, may_fail_over, attempt
         )
+        attempt.is_with_owner = True
         if not protocol.send(request):
+            attempt.is_with_owner = False
             protocol.remove_pending(number)
             return peer_unreachable_refusal(ResultCode.CALL_UPSTREAM_UNREACHABLE)
         self._schedule_silence_check(protocol)
@@ -147,6 +156,12 @@
             for number in list(protocol.pending):
                 protocol.send(Withdraw(number))
 
+    def withdraw(self, request: CallRequest) -> None:
+        """Ask the other node to refuse a call if it still waits for a slot."""
+        for protocol in self.protocols():
+            if request.number in protocol.pending:
+                protocol.send(Withdraw(request.number))
+
     def next_number(self) -> int:
         """Return a message number that has not been used yet."""
         self._last_number += 1
--- a/gypsumlock/mesh/peer_server.py
+++ b/gypsumlock/mesh/peer_server.py
@@ -42,13 +42,15 @@
 class InboundConnection(FramedProtocol, FollowerConnection):
     """Server side of a connection from another node."""
 
-    __slots__ = ("_requests", "_server", "_tasks")
+    __slots__ = ("_begun", "_requests", "_server", "_tasks")
 
     def __init__(self, server: PeerServer) -> None:
         super().__init__(server.meter, server.memory)
         self._server = server
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._requests: dict[int, CallRequest] = {}
+        # Numbers of the calls whose tasks have begun.
+        self._begun: set[int] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
@@ -68,9 +70,7 @@
         if isinstance(message, CallRequest):
             self._start_call(message)
         elif isinstance(message, Cancel):
-            running = self._tasks.get(message.number)
-            if running is not None:
-                running.cancel()
+            self._cancel_call(message.number)
         elif isinstance(message, Withdraw):
             request = self._requests.get(message.number)
             if request is not None:
@@ -99,12 +99,24 @@
         # A task that is cancelled before it has begun runs no code of its own.
         task.add_done_callback(lambda _: self._end_call(request))
 
+    def _cancel_call(self, number: int) -> None:
+        """End a call; tell the caller if it certainly did not run."""
+        request = self._requests.get(number)
+        # The refusal of a withdrawn call is sent like any other.
+        if request is not None and not self._server.handler.withdraw(request):
+            self._tasks[number].cancel()
+
     def _end_call(self, request: CallRequest) -> None:
         self.memory.requests.release(len(request.body))
+        if request.number not in self._begun:
+            code = ResultCode.CALL_OVERLOADED
+            self.send(Refusal(request.number, code, 0.0, False, OwnerLoad()))
+        self._begun.discard(request.number)
         self._tasks.pop(request.number, None)
         self._requests.pop(request.number, None)
 
     async def _run_call(self, request: CallRequest) -> None:
+        self._begun.add(request.number)
         target_at_s = self.loop.time() + request.target_left_s
         outcome = await self._server.handler.run_call(request)
         outcome.number = request.number
--- a/gypsumlock/mesh/upstream_client.py
+++ b/gypsumlock/mesh/upstream_client.py
@@ -21,7 +21,7 @@
 from gypsumlock.mesh.response_kind import ResponseKind, classify_response
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.mesh.upstream_connection import UpstreamConnection
-from gypsumlock.mesh.upstream_pool import UpstreamPool
+from gypsumlock.mesh.upstream_pool import CONNECT_TIMEOUT_S, UpstreamPool
 from gypsumlock.mesh.upstream_response import (
     ConnectFailed,
     ExchangeFailed,
@@ -91,8 +91,11 @@
         if incarnation is None or incarnation.leaving:
             return _refusal(ResultCode.CALL_LEAVING)
         try:
-            connection = await self._acquire_connection(request)
+            connection = await self._acquire_connection(request, deadline_at_s)
         except ConnectFailed as error:
+            if self._loop.time() >= deadline_at_s:
+                # The time of this call ended, which says nothing about the upstream.
+                return _refusal(ResultCode.CALL_OVERLOADED)
             return self._record_connect_failure(request, str(error))
         left_s = deadline_at_s - self._loop.time()
         incarnation = self._state.registry.current
@@ -120,15 +123,18 @@
             self._release_connection(request, connection)
         return self._make_outcome(request, response)
 
-    async def _acquire_connection(self, request: CallRequest) -> UpstreamConnection:
+    async def _acquire_connection(
+        self, request: CallRequest, deadline_at_s: float
+    ) -> UpstreamConnection:
         """Return a connection for a call.
 
         A call without an identifier gets one of its own, as nothing would tell a late
         response to an earlier call from its response.
         """
+        timeout_s = min(CONNECT_TIMEOUT_S, deadline_at_s - self._loop.time())
         if not request.request_id:
-            return await self._pool.open()
-        return await self._pool.acquire(request.repeatable)
+            return await self._pool.open(timeout_s)
+        return await self._pool.acquire(request.repeatable, timeout_s)
 
     def _release_connection(
         self, request: CallRequest, connection: UpstreamConnection
--- a/gypsumlock/mesh/upstream_pool.py
+++ b/gypsumlock/mesh/upstream_pool.py
@@ -15,8 +15,9 @@
 )
 from gypsumlock.mesh.upstream_response import ConnectFailed
 
-__all__ = ["UpstreamPool"]
+__all__ = ["CONNECT_TIMEOUT_S", "UpstreamPool"]
 
+# Time allowed to open a connection, in seconds.
 CONNECT_TIMEOUT_S = 0.5
 # Idle limit for calls that must not be repeated: an upstream may drop an idle
 # connection earlier than announced, which leaves the outcome of the call unknown.
@@ -63,13 +64,17 @@
         self._reduced_idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self._reduced_until_s = float("-inf")
 
-    async def acquire(self, repeatable: bool) -> UpstreamConnection:
+    async def acquire(
+        self, repeatable: bool, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> UpstreamConnection:
         """Return an idle connection, or open a new one.
 
         Parameters
         ----------
         repeatable : bool
             False for a call that must not fail because of a stale connection.
+        timeout_s : float
+            Time allowed to open a connection.
 
         Raises
         ------
@@ -89,11 +94,16 @@
             if idle_s < limit_s and connection.reusable():
                 return connection
             connection.close()
-        return await self.open()
+        return await self.open(timeout_s)
 
-    async def open(self) -> UpstreamConnection:
+    async def open(self, timeout_s: float = CONNECT_TIMEOUT_S) -> UpstreamConnection:
         """Open a new connection.
 
+        Parameters
+        ----------
+        timeout_s : float
+            Time allowed for it.
+
         Raises
         ------
         ConnectFailed
@@ -101,7 +111,7 @@
         """
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
                     lambda: UpstreamConnection(self._id_header, self._budget),
                     self._host,
