--- a/gypsumlock/leases/lease_keeper.py
+++ b/gypsumlock/leases/lease_keeper.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable, Collection
 from functools import partial
 
@@ -13,9 +12,10 @@
 from gypsumlock.leases.lease import decode_lease, encode_lease
 from gypsumlock.leases.lease_state import LeaseState, LeaseStep, StepKind
 from gypsumlock.logs import Component, get_logger
+from gypsumlock.mesh.boot_clock import boot_time_s
 from gypsumlock.mesh.feed_store import FeedStore
 
-__all__ = ["LEASE_TABLE", "LeaseKeeper", "boot_time_s"]
+__all__ = ["LEASE_TABLE", "LeaseKeeper"]
 
 log = get_logger(Component.NODE)
 
@@ -24,11 +24,6 @@
 CHECK_INTERVAL_S = 0.25
 
 
-def boot_time_s() -> float:
-    """Return the time of a clock that goes on while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class LeaseKeeper(Controller):
     """Holds the leases for which this node is a candidate, where it can.
 
--- a/gypsumlock/mesh/key_revocation.py
+++ b/gypsumlock/mesh/key_revocation.py
@@ -12,10 +12,9 @@
 from __future__ import annotations
 
 from gypsumlock.logs import Component, get_logger
+from gypsumlock.mesh.attempt import Attempt
 from gypsumlock.mesh.call_classifier import Call
 from gypsumlock.mesh.directory import UpstreamDirectory
-from gypsumlock.mesh.model import CallRequest
-from gypsumlock.mesh.placement import UpstreamView
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.organisations import mark_headers
 from gypsumlock.result_codes import ResultCode
@@ -41,18 +40,17 @@
     def __init__(self, state: MeshState, directory: UpstreamDirectory) -> None:
         self._state = state
         self._directory = directory
-        # By the `id` of their request.
-        self._attempts: dict[int, tuple[Call, UpstreamView, CallRequest]] = {}
+        self._attempts: dict[Attempt, Call] = {}
         state.route_table_listeners.append(self._withdraw_revoked_calls)
 
-    def begin(self, call: Call, view: UpstreamView, request: CallRequest) -> None:
+    def begin(self, call: Call, attempt: Attempt) -> None:
         """Record an attempt that begins."""
         if call.key_digest:
-            self._attempts[id(request)] = (call, view, request)
+            self._attempts[attempt] = call
 
-    def end(self, request: CallRequest) -> None:
+    def end(self, attempt: Attempt) -> None:
         """Forget an attempt that has ended."""
-        self._attempts.pop(id(request), None)
+        self._attempts.pop(attempt, None)
 
     def may_send(self, call: Call) -> bool:
         """Return whether a call may be offered to an owner.
@@ -85,8 +83,12 @@
         )
 
     def _withdraw_revoked_calls(self) -> None:
-        revoked = [x for x in self._attempts.values() if self._is_revoked(x[0])]
-        for _, view, request in revoked:
-            self._directory.withdraw(view, request)
+        revoked = [
+            attempt
+            for attempt, call in self._attempts.items()
+            if self._is_revoked(call)
+        ]
+        for attempt in revoked:
+            self._directory.withdraw(attempt)
         if revoked:
             log.info("calls of removed keys withdrawn", calls=len(revoked))
--- a/gypsumlock/mesh/node.py
+++ b/gypsumlock/mesh/node.py
@@ -18,8 +18,8 @@
 import anyio
 
 from gypsumlock.controller import Controller
-from gypsumlock.leases import boot_time_s
 from gypsumlock.logs import Component, get_logger
+from gypsumlock.mesh.boot_clock import boot_time_s
 from gypsumlock.mesh.call_charger import CallCharger
 from gypsumlock.mesh.caller import CallDispatcher
 from gypsumlock.mesh.directory import UpstreamDirectory
--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -138,14 +138,16 @@
             )
         return await self._execute(request, ticket)
 
-    def withdraw(self, request: CallRequest) -> None:
-        """Refuse a call if it still waits for a slot."""
+    def withdraw(self, request: CallRequest) -> bool:
         ticket = self._tickets.get(id(request))
-        if ticket is not None:
-            self._withdraw_ticket(ticket)
-        else:
+        if ticket is None:
             # If it has not begun yet, it is refused then.
             request.deadline_left_s = EXPIRED_S
+            return False
+        if ticket.state is not TicketState.WAITING:
+            return False
+        self._withdraw_ticket(ticket)
+        return True
 
     def withdraw_all(self) -> None:
         """Refuse every call that still waits for a slot."""
--- a/tests/test_key_removal.py
+++ b/tests/test_key_removal.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from gypsumlock.mesh import frames, write_buffer
+from gypsumlock.mesh.attempt import Attempt
 from gypsumlock.mesh.model import CallRequest, Refusal
 from gypsumlock.mesh.state import RevocationBounds
 from gypsumlock.organisations import ConfigContact, HeartbeatTimes
@@ -84,10 +85,11 @@
                 0, b"1", "finder", "search", 1, True, 1.0, False, 0, 1.0, 2.0,
                 b"GET", b"/search/x", [], b"",
             )  # fmt: skip
-            task = asyncio.create_task(directory.send(view, request, lambda: False))
+            attempt = Attempt(view.node, request)
+            task = asyncio.create_task(directory.send(view, attempt, lambda: False))
             if caller is not self.owner:
                 await asyncio.sleep(0)
-            directory.withdraw(view, request)
+            directory.withdraw(attempt)
             self.assertIsInstance(await task, Refusal)
         self.assertEqual(self.owner.upstream.calls, [])
 
