Add roll-outs: judgement, conductor, version gate and version table

Versions of a service are compared by a sequential test while a candidate gets a small share of the calls. Owners decide by the newest entry which calls their upstream gets. Not wired into the daemon yet.

--- a/gypsumlock/logs.py
+++ b/gypsumlock/logs.py
@@ -42,6 +42,7 @@
     PLATFORM = "platform"
     OPERATOR = "operator"
     UPSTREAM = "upstream"
+    ROLLOUT = "rollout"
 
 
 # Numeric value of the level WARNING in loguru.
--- a/gypsumlock/mesh/call_classifier.py
+++ b/gypsumlock/mesh/call_classifier.py
@@ -52,6 +52,9 @@
     # Latest server error; passed on if no attempt gets a better response.
     fallback_answer: Answer | None = None
     refusal_code: ResultCode = ResultCode.CALL_NO_UPSTREAM
+    # Version under roll-out that the call goes to first; empty for none, and None
+    # before that was decided.
+    trial_version: str | None = None
 
     @property
     def rank(self) -> int:
--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -39,6 +39,7 @@
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.metrics import Metrics
 from gypsumlock.result_codes import ResultCode
+from gypsumlock.rollout.version_choice import version_tiers
 
 __all__ = ["CallDispatcher"]
 
@@ -183,9 +184,10 @@
         """Return whether the call may be sent to one more upstream."""
         if len(tried) >= call.route.max_attempts:
             return False
+        views = self._directory.views(call.service)
         return any(
             view.node not in tried and not view.ejected
-            for view in self._directory.views(call.service)
+            for view in self._state.versions.usable(call.service, views)
         )
 
     def _charge_retry(self, call: Call) -> bool:
@@ -257,7 +259,11 @@
         ]
         size_bytes = self._mean_call_bytes.get(call.route.name, 0.0)
         profile = CallProfile(call.route, size_bytes)
-        return self._selector.order_by_cost(profile, views, self._loop.time())
+        now_s = self._loop.time()
+        ordered: list[UpstreamView] = []
+        for tier in version_tiers(self._state.versions, call, views):
+            ordered += self._selector.order_by_cost(profile, tier, now_s)
+        return ordered
 
     def _record_refusal(self, call: Call, outcome: Refusal) -> None:
         call.refusal_code = ResultCode(outcome.code)
--- a/gypsumlock/mesh/caller_protocol.py
+++ b/gypsumlock/mesh/caller_protocol.py
@@ -27,6 +27,7 @@
 )
 from gypsumlock.mesh.round_trip import RoundTripEstimator
 from gypsumlock.result_codes import ResultCode
+from gypsumlock.rollout.messages import VersionVerdict
 
 __all__ = ["CallerProtocol", "PendingCall", "ProtocolListener"]
 
@@ -85,7 +86,13 @@
         Counts the parts of answers that have arrived; None for an account of its own.
     """
 
-    __slots__ = ("_listener", "_ping_sent_at_s", "pending", "round_trip")
+    __slots__ = (
+        "_listener",
+        "_ping_sent_at_s",
+        "pending",
+        "round_trip",
+        "verdict",
+    )
 
     def __init__(
         self,
@@ -99,6 +106,8 @@
         # When each unanswered ping was sent, by its number.
         self._ping_sent_at_s: dict[int, float] = {}
         self.round_trip = RoundTripEstimator()
+        # Last answer to a version report; its reader resets it to None.
+        self.verdict: VersionVerdict | None = None
 
     def handle_message(self, message: Message) -> None:
         """Dispatch an outcome, a chunk of a response, a load report or a pong."""
@@ -116,6 +125,8 @@
                 self.memory.answers.hold(len(message.body))
         elif isinstance(message, LoadReport):
             self._listener.store_load_report(message.load)
+        elif isinstance(message, VersionVerdict):
+            self.verdict = message
         elif isinstance(message, Pong) and message.number in self._ping_sent_at_s:
             sent_at_s = self._ping_sent_at_s.pop(message.number)
             self.round_trip.add_sample(self.loop.time() - sent_at_s)
--- a/gypsumlock/mesh/directory.py
+++ b/gypsumlock/mesh/directory.py
@@ -49,6 +49,10 @@
         """Return the upstreams of a service."""
         return self._by_service.get(service, ())
 
+    def knows(self, node: str) -> bool:
+        """Return whether there is a record of a node."""
+        return node in self._records
+
     def update(self, records: dict[str, UpstreamRecord]) -> None:
         """Replace the records of all nodes.
 
@@ -80,6 +84,7 @@
                     service=record.service,
                     zone=record.zone,
                 )
+            view.version = record.version
             by_service.setdefault(record.service, []).append(view)
         self._records = records
         self._by_service = by_service
--- a/gypsumlock/mesh/fleet_feed.py
+++ b/gypsumlock/mesh/fleet_feed.py
@@ -194,6 +194,10 @@
             self._state.published.update(None)
             self._state.publish_needed.set()
 
+    def services(self) -> set[str]:
+        """Return the services of all upstreams that are known."""
+        return {row.record.service for row in self.records.values()}
+
     def newest_records(self) -> list[UpstreamRecord]:
         """Return the newest record of each address.
 
@@ -219,4 +223,9 @@
         return record.node == state.node or record.peer_address == own_address
 
     def _update_directory(self) -> None:
-        self._directory.update({x.node: x for x in self.newest_records()})
+        records = self.newest_records()
+        if self._state.bounds.rollout is not None:
+            # A terminated conductor's row may be hidden by a newer one of its address.
+            everything = [row.record for row in self.records.values()]
+            self._state.versions.update(records, everything)
+        self._directory.update({x.node: x for x in records})
--- a/gypsumlock/mesh/frames.py
+++ b/gypsumlock/mesh/frames.py
@@ -27,6 +27,7 @@
 from gypsumlock.mesh.model import Answer, CallRequest, Failure, OwnerLoad, Refusal
 from gypsumlock.mesh.write_buffer import UnsentBytes, write_with_head
 from gypsumlock.result_codes import ResultCode
+from gypsumlock.rollout.messages import VersionReport, VersionVerdict
 
 __all__ = [
     "AnswerChunk",
@@ -101,6 +102,8 @@
     | PackedDelta
     | ConfigSnapshot
     | FeedHeartbeat
+    | VersionReport
+    | VersionVerdict
 )
 
 _REQUEST_TAG = 1
--- a/gypsumlock/mesh/model.py
+++ b/gypsumlock/mesh/model.py
@@ -211,6 +211,13 @@
     phase: RolloutPhase = RolloutPhase.ESTABLISHED
     # Version of the store's row that holds the order; 0 if there is no order.
     order_version: Number = 0
+    # When the conductor first saw the order, in Unix milliseconds, and the time that
+    # the order allows for the roll-out.
+    began_ms: TimestampMs = 0
+    duration_s: Duration = 0.0
+    # Upstreams of the candidate that get no calls in the trial: their answers are bad,
+    # while those of the other upstreams are not.
+    suspects: tuple[Identifier, ...] = ()
 
 
 class UpstreamRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -17,6 +17,7 @@
 from gypsumlock.mesh.ticket import AdmissionDecision, Ticket, TicketState
 from gypsumlock.mesh.upstream_client import UpstreamClient
 from gypsumlock.result_codes import ResultCode
+from gypsumlock.rollout.clock import boot_s
 
 __all__ = ["UpstreamOwner"]
 
@@ -80,6 +81,8 @@
         incarnation = self._state.registry.current
         if incarnation is None or incarnation.leaving or self._state.stopping:
             return False
+        if not self._state.version_gate.accepts(boot_s()):
+            return False
         return not self._client.is_backing_off()
 
     def load(self, route: str = "") -> OwnerLoad:
@@ -216,6 +219,12 @@
             outcome = await self._client.send(request, ticket.deadline_at_s)
             if isinstance(outcome, Answer):
                 service_s = self._loop.time() - started_at_s
+            self._state.version_gate.record_outcome(request.route, outcome, service_s)
+        except asyncio.CancelledError:
+            if self._loop.time() >= ticket.deadline_at_s:
+                # The caller waits no longer than that for an answer.
+                self._state.version_gate.record_lost_answer(request.route)
+            raise
         finally:
             self._release_slot(ticket, service_s)
         log.info(
@@ -251,6 +260,8 @@
             return ResultCode.CALL_LEAVING
         if incarnation.service != request.service:
             return ResultCode.CALL_NO_UPSTREAM
+        if not self._state.version_gate.accepts(boot_s()):
+            return ResultCode.CALL_LEAVING
         if self._client.is_backing_off():
             return ResultCode.CALL_UPSTREAM_UNREACHABLE
         if self._state.memory.is_high():
--- a/gypsumlock/mesh/peer_connection.py
+++ b/gypsumlock/mesh/peer_connection.py
@@ -29,6 +29,7 @@
     peer_unreachable_refusal,
 )
 from gypsumlock.result_codes import ResultCode
+from gypsumlock.rollout.messages import VersionReport, VersionVerdict
 
 __all__ = ["PeerConnection"]
 
@@ -141,6 +142,19 @@
             self._give_up_connection(protocol)
         return False
 
+    async def send_report(self, report: VersionReport) -> bool:
+        """Send a version report; return False if the node can't be reached."""
+        protocol = self._protocol or await self._connect()
+        return protocol is not None and protocol.send(report)
+
+    def take_verdict(self) -> VersionVerdict | None:
+        """Return the answer to a version report that arrived since the last call."""
+        protocol = self._protocol
+        if protocol is None:
+            return None
+        verdict, protocol.verdict = protocol.verdict, None
+        return verdict
+
     def withdraw_queued_calls(self) -> None:
         """Ask the other node to refuse every call that still waits for a slot."""
         for protocol in self.protocols():
--- a/gypsumlock/mesh/peer_server.py
+++ b/gypsumlock/mesh/peer_server.py
@@ -30,6 +30,7 @@
 from gypsumlock.mesh.pacer import Pacer, split_into_chunks
 from gypsumlock.mesh.write_buffer import has_unsent_bytes
 from gypsumlock.result_codes import ResultCode
+from gypsumlock.rollout.messages import ReportHandler, VersionReport
 
 __all__ = ["InboundConnection", "PeerServer"]
 
@@ -79,6 +80,11 @@
             self._server.relay.add_follower(self, message)
         elif isinstance(message, Ping):
             self.send(Pong(message.number))
+        elif isinstance(message, VersionReport):
+            handler = self._server.report_handler
+            verdict = handler.handle_report(message) if handler else None
+            if verdict is not None:
+                self.send(verdict)
 
     def send_update(
         self, message: RecordUpdate | PackedDelta | ConfigSnapshot | FeedHeartbeat
@@ -183,6 +189,7 @@
         "meter",
         "pacer",
         "relay",
+        "report_handler",
     )
 
     def __init__(
@@ -199,6 +206,8 @@
         self.meter = meter
         self.relay = relay
         self.connections: set[InboundConnection] = set()
+        # Receives version reports; None where there are no roll-outs.
+        self.report_handler: ReportHandler | None = None
         self._server: asyncio.Server | None = None
 
     async def start(self, address: str) -> None:
--- a/gypsumlock/mesh/placement.py
+++ b/gypsumlock/mesh/placement.py
@@ -87,6 +87,8 @@
     probe_backoff_s: float = INITIAL_PROBE_BACKOFF_S
     # Mean service time by route as its owner reports it, in seconds.
     service_s: RecentTable[str, float] = field(default_factory=RecentTable)
+    # Version of its software; empty if it is not known.
+    version: str = ""
 
     def record_load(self, route: str, load: OwnerLoad, now_s: float) -> None:
         """Record a load report from the owner, the node beside the upstream."""
--- a/gypsumlock/mesh/recent_table.py
+++ b/gypsumlock/mesh/recent_table.py
@@ -54,3 +54,7 @@
     def get(self, name: _KeyT, default: _DefaultT) -> _ValueT | _DefaultT:
         """Return the value of a name, or a default if it has none."""
         return self._values.get(name, default)
+
+    def values(self) -> list[_ValueT]:
+        """Return all values, the one that was set last at the end."""
+        return list(self._values.values())
--- a/gypsumlock/mesh/record_publisher.py
+++ b/gypsumlock/mesh/record_publisher.py
@@ -110,6 +110,7 @@
             zone=state.zone,
             link_mbps=state.link_mbps,
             departures=state.registry.departures(),
+            rollouts=state.rollouts,
         )
         incarnation = state.registry.current
         if incarnation is None:
@@ -122,6 +123,8 @@
             slots=incarnation.slots,
             serving=not incarnation.leaving and not state.stopping,
             departed=incarnation.leaving,
+            version=incarnation.version,
+            retired=state.version_gate.retired,
         )
 
     def _with_previous_upstream(self, record: UpstreamRecord) -> UpstreamRecord:
@@ -139,6 +142,7 @@
             born_ms=previous.born_ms,
             slots=previous.slots,
             departed=previous.departed,
+            version=previous.version,
         )
 
     async def _restore_published_record(self) -> None:
@@ -148,6 +152,8 @@
         row = self._feed.records.get(self._state.node)
         if row is not None:
             self._previous = row.record
+            if self._state.bounds.rollout is not None:
+                self._state.rollouts = row.record.rollouts
             self._adopt_row(row.row_version, row.record)
         self._state.previous_record.set_result(self._previous)
 
--- a/gypsumlock/mesh/state.py
+++ b/gypsumlock/mesh/state.py
@@ -10,11 +10,18 @@
 
 from gypsumlock.mesh.link_meter import LinkMeter, usable_mbps
 from gypsumlock.mesh.memory_account import MemoryAccount
-from gypsumlock.mesh.model import HeaderNames, NodeAddresses, UpstreamRecord
+from gypsumlock.mesh.model import (
+    HeaderNames,
+    NodeAddresses,
+    RolloutEntry,
+    UpstreamRecord,
+)
 from gypsumlock.mesh.pacer import Pacer
 from gypsumlock.mesh.published_record import PublishedRecord
 from gypsumlock.mesh.route_table import RouteTable
 from gypsumlock.mesh.upstream_registry import UpstreamRegistry
+from gypsumlock.rollout.version_gate import VersionGate
+from gypsumlock.rollout.version_table import VersionTable
 
 __all__ = [
     "MeshBounds",
@@ -182,10 +189,13 @@
         "publish_needed",
         "published",
         "registry",
+        "rollouts",
         "route_table",
         "service",
         "stopping_since_s",
         "upstream_probed",
+        "version_gate",
+        "versions",
         "zone",
     )
 
@@ -213,6 +223,10 @@
         self.pacer = Pacer(self.link_meter)
         self.memory = MemoryAccount(memory_mb)
         self.registry = UpstreamRegistry(addresses.upstream)
+        self.versions = VersionTable()
+        self.version_gate = VersionGate(self.versions, self.registry)
+        # Decisions on roll-outs that this node publishes, or has published.
+        self.rollouts: tuple[RolloutEntry, ...] = ()
         # Set whenever the node's own record has to be published again.
         self.publish_needed = asyncio.Event()
         self.published = PublishedRecord()
--- a/gypsumlock/mesh/upstream_probe.py
+++ b/gypsumlock/mesh/upstream_probe.py
@@ -92,7 +92,8 @@
         log.warning("health check ignored", reason=f"instance {instance[:40]!r}")
         return False
     # A heartbeat tells more than a health check; any heartbeat replaces these values.
-    born_ms = previous_record.born_ms if instance == previous_record.instance else 0
+    is_same = instance == previous_record.instance
+    born_ms = previous_record.born_ms if is_same else 0
     incarnation = UpstreamIncarnation(
         instance=instance,
         service=state.service,
@@ -100,6 +101,7 @@
         born_ms=born_ms,
         sequence=-1,
         leaving=False,
+        version=previous_record.version if is_same else "",
     )
     registered = state.registry.assume(incarnation)
     if registered:
--- a/gypsumlock/mesh/upstream_registry.py
+++ b/gypsumlock/mesh/upstream_registry.py
@@ -32,6 +32,8 @@
     cold_left_s: float
     # Start of the incarnation in Unix milliseconds; 0 if it was not reported.
     born_ms: int
+    # Version of the upstream's software; empty if it was not reported.
+    version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +46,8 @@
     born_ms: int
     sequence: int
     leaving: bool
+    # Version of its software; empty if it is not known.
+    version: str = ""
 
 
 class UpstreamRegistry:
@@ -55,11 +59,13 @@
         Address of the local upstream; heartbeats for other addresses are ignored.
     """
 
-    __slots__ = ("_address", "_departed", "current")
+    __slots__ = ("_address", "_departed", "cold_left_s", "current")
 
     def __init__(self, address: str) -> None:
         self._address = address
         self.current: UpstreamIncarnation | None = None
+        # Remaining warm-up time in the last heartbeat, in seconds.
+        self.cold_left_s = 0.0
         # Latest known start of a departed incarnation by instance, in the order of the
         # departures.
         self._departed: dict[str, int] = {}
@@ -85,7 +91,9 @@
             heartbeat.born_ms,
             heartbeat.sequence,
             heartbeat.leaving or stays_leaving,
+            heartbeat.version,
         )
+        self.cold_left_s = heartbeat.cold_left_s
         self.current = updated
         if current is None:
             return True
--- a/gypsumlock/platform/endpoints.py
+++ b/gypsumlock/platform/endpoints.py
@@ -60,6 +60,8 @@
     service: Text
     slots: Slots
     zone: Text = ""
+    # Version of the upstream's software.
+    version: Text = ""
 
 
 class _InstanceStatus(msgspec.Struct, frozen=True):
@@ -177,6 +179,7 @@
                 leaving=heartbeat.leaving,
                 born_ms=heartbeat.born_ms,
                 sequence=heartbeat.sequence,
+                version=heartbeat.version,
             )
             self._on_change()
         registry = self._state.registry
@@ -234,6 +237,7 @@
             sequence=heartbeat.status.sequence,
             cold_left_s=heartbeat.status.cold_left_s,
             born_ms=heartbeat.born,
+            version=heartbeat.info.version,
         )
     )
 
--- a/gypsumlock/platform/names.py
+++ b/gypsumlock/platform/names.py
@@ -11,7 +11,10 @@
     "HEADER_NAMES",
     "HEARTBEAT_PATH_PREFIX",
     "METRICS_PATH",
+    "ORDER_TABLE",
     "READY_PATH",
+    "ROLLOUT_KEY_PREFIX",
+    "STATUS_TABLE",
 ]
 
 READY_PATH = b"/-/readyz"
@@ -24,6 +27,11 @@
 # Table and key of the row that holds the operator's newest configuration.
 CONFIG_TABLE = "op"
 CONFIG_KEY = "config"
+# The operator's orders for roll-outs are in the same table, and their status in another
+# one; the prefix is followed by the name of the service.
+ORDER_TABLE = CONFIG_TABLE
+STATUS_TABLE = "status"
+ROLLOUT_KEY_PREFIX = "rollout/"
 
 HEADER_NAMES = HeaderNames(
     request_id=b"request-id",
--- /dev/null
+++ b/gypsumlock/rollout/conductor.py
@@ -0,0 +1,393 @@
+"""Decides on the roll-outs of all services, while this node is the conductor.
+
+Phases of a roll-out:
+1. Trial: the candidate gets a small share of the calls until its answers are judged.
+2. Finish: the candidate gets all calls. Owners of other upstreams refuse new ones.
+3. Completed, once no other upstream has a call in flight; or rolled back, from any
+   phase before, also because the order was withdrawn or changed.
+
+Does no I/O and reads no clock. What has been decided is in the entries, which the
+feed distributes and the store keeps: the next conductor continues from them. A final
+phase is never left but for a new order.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass
+
+from msgspec.structs import replace
+
+from gypsumlock.logs import Component, get_logger
+from gypsumlock.mesh.model import RolloutEntry, RolloutPhase, UpstreamRecord
+from gypsumlock.rollout.evidence import Evidence
+from gypsumlock.rollout.judgement import DOUBT, Judgement, judge
+from gypsumlock.rollout.messages import VersionReport
+from gypsumlock.rollout.rows import OrderRow, StatusRow
+from gypsumlock.rollout.version_table import (
+    ServiceVersions,
+    VersionTable,
+    settled_version,
+)
+
+__all__ = ["Conductor", "Moment"]
+
+log = get_logger(Component.ROLLOUT)
+
+# Largest share of the calls that a candidate gets on trial. Less than the users' bound,
+# as the nodes' shares of a short time are not exact.
+MAX_TRIAL_SHARE = 0.08
+TRIAL_SHARE_OF_BOUND = 0.8
+# Shares of the time that an order allows after which a trial may end, and has to. The
+# rest is for the way of the news, and for the calls in flight at old upstreams.
+DECIDE_AFTER_SHARE = 0.55
+DECIDE_LATEST_SHARE = 0.65
+# Time from the first answer of a candidate to the end of its trial, in seconds. Some
+# versions fail only some seconds after their start.
+MIN_TRIAL_S = 4.5
+# Answers that a trial should have before it ends, and those in its last seconds.
+MIN_ANSWERS = 30
+MIN_RECENT_ANSWERS = 5
+# Time in which the owners report again to a new conductor, in seconds.
+TAKEOVER_S = 1.5
+# Time for which a majority has to last before it is recorded as established, and for
+# which an established version has to be gone before it is replaced, in seconds.
+SETTLE_S = 3.0
+# Time after the last report of an owner in which its own record is not consulted, in
+# seconds.
+REPORT_LIFETIME_S = 3.0
+ACTIVE_PHASES = frozenset({RolloutPhase.RUNNING, RolloutPhase.FINISHING})
+
+
+@dataclass(frozen=True, slots=True)
+class Moment:
+    """The same moment on two clocks."""
+
+    # Monotonic, in seconds.
+    now_s: float
+    # Unix time in milliseconds; nodes agree on it.
+    wall_ms: int
+
+
+class Conductor:
+    """The conductor's decisions under one fencing token.
+
+    Parameters
+    ----------
+    token : int
+        Fencing token of the lease.
+    table : VersionTable
+        Versions of all services, with the entries of earlier conductors.
+    exposure_share : float
+        Share of a service's calls that a bad version may get.
+    now_s : float
+        Monotonic time.
+    """
+
+    __slots__ = (
+        "_began_s",
+        "_evidence",
+        "_share",
+        "_table",
+        "_unsettled",
+        "entries",
+        "token",
+    )
+
+    def __init__(
+        self, token: int, table: VersionTable, exposure_share: float, now_s: float
+    ) -> None:
+        self.token = token
+        self._table = table
+        self._share = min(MAX_TRIAL_SHARE, TRIAL_SHARE_OF_BOUND * exposure_share)
+        self._began_s = now_s
+        self._evidence: dict[str, Evidence] = {}
+        # Version that could become the established one of a service, and since when.
+        self._unsettled: dict[str, tuple[str, float]] = {}
+        self.entries: dict[str, RolloutEntry] = {
+            service: replace(versions.entry, token=token, revision=1)
+            for service, versions in table.services.items()
+            if versions.entry is not None
+        }
+
+    def step(
+        self,
+        orders: Mapping[str, OrderRow],
+        statuses: Mapping[str, StatusRow],
+        gone: Collection[str],
+        moment: Moment,
+    ) -> None:
+        """Take the decisions that are due.
+
+        Parameters
+        ----------
+        orders : Mapping[str, OrderRow]
+            All orders by service.
+        statuses : Mapping[str, StatusRow]
+            Status rows by service, as this node found them.
+        gone : Collection[str]
+            Nodes whose processes have certainly ended.
+        moment : Moment
+            The current time.
+        """
+        for service in {*orders, *self.entries, *self._table.services}:
+            versions = self._table.services.get(service) or ServiceVersions()
+            entry = self.entries.get(service)
+            order = orders.get(service)
+            if entry is not None and entry.phase in ACTIVE_PHASES:
+                if order is None:
+                    self._end(entry, RolloutPhase.ROLLED_BACK, "order withdrawn")
+                elif order.row_version != entry.order_version:
+                    self._begin(order, versions, moment)
+                elif entry.phase is RolloutPhase.RUNNING:
+                    self._step_trial(entry, versions, moment)
+                else:
+                    self._step_finish(entry, versions, gone, moment)
+            elif order is not None and self._is_new(order, statuses.get(service)):
+                self._begin(order, versions, moment)
+            else:
+                self._settle(service, versions, moment)
+
+    def handle_report(self, report: VersionReport, now_s: float) -> bool:
+        """Record a report; return whether its upstream may get calls on trial."""
+        entry = self.entries.get(report.service)
+        if (
+            entry is None
+            or entry.phase not in ACTIVE_PHASES
+            or report.order_version != entry.order_version
+        ):
+            return False
+        self._evidence_of(report.service).absorb(report, now_s)
+        return (
+            report.version == entry.candidate and report.instance not in entry.suspects
+        )
+
+    def blocking(self, service: str, now_s: float) -> list[UpstreamRecord]:
+        """Return the upstreams that may still execute calls of a replaced version."""
+        entry = self.entries[service]
+        versions = self._table.services.get(service) or ServiceVersions()
+        evidence = self._evidence_of(service)
+        blocking = []
+        for record in versions.present:
+            if record.version == entry.candidate:
+                continue
+            reported = evidence.upstreams.get(record.instance)
+            if reported is None or reported.last_seen_s < now_s - REPORT_LIFETIME_S:
+                retired = record.retired
+            else:
+                retired = reported.retired
+            if not retired:
+                blocking.append(record)
+        return blocking
+
+    def is_silent(self, service: str, instance: str, now_s: float) -> bool:
+        """Return whether the owner of an upstream has not reported for a while."""
+        upstream = self._evidence_of(service).upstreams.get(instance)
+        return upstream is None or upstream.last_seen_s < now_s - REPORT_LIFETIME_S
+
+    def _is_draining(self, entry: RolloutEntry, now_s: float) -> bool:
+        """Return whether the owner of a replaced upstream reports calls in flight.
+
+        An upstream that has announced its departure still finishes its calls.
+        """
+        upstreams = self._evidence_of(entry.service).upstreams.values()
+        return any(
+            upstream.version != entry.candidate
+            and not upstream.retired
+            and upstream.last_seen_s >= now_s - REPORT_LIFETIME_S
+            for upstream in upstreams
+        )
+
+    # --- decisions ---
+
+    def _is_new(self, order: OrderRow, status: StatusRow | None) -> bool:
+        """Return whether an order has not been carried out yet."""
+        entry = self.entries.get(order.service)
+        if entry is not None and entry.order_version == order.row_version:
+            return False
+        # The entry of an order that ended is lost only with the records of all nodes.
+        return not (
+            entry is None
+            and status is not None
+            and status.is_final
+            and status.candidate == order.candidate
+            and status.row_version > order.row_version
+        )
+
+    def _begin(
+        self, order: OrderRow, versions: ServiceVersions, moment: Moment
+    ) -> None:
+        entry = self.entries.get(order.service)
+        if entry is not None:
+            established = settled_version(entry)
+        else:
+            established = versions.majority(order.candidate) or order.candidate
+        is_trial = established != order.candidate
+        self._evidence[order.service] = Evidence()
+        self._put(
+            RolloutEntry(
+                service=order.service,
+                token=self.token,
+                revision=0,
+                established=established,
+                candidate=order.candidate,
+                share=self._share if is_trial else 1.0,
+                phase=RolloutPhase.RUNNING if is_trial else RolloutPhase.FINISHING,
+                order_version=order.row_version,
+                began_ms=moment.wall_ms,
+                duration_s=order.duration_s,
+            ),
+            "order received",
+        )
+
+    def _step_trial(
+        self, entry: RolloutEntry, versions: ServiceVersions, moment: Moment
+    ) -> None:
+        judgement = self._judge(entry, versions, moment.now_s)
+        if judgement.is_bad:
+            reason = f"bad answers, evidence {judgement.evidence:.1f}"
+            self._end(entry, RolloutPhase.ROLLED_BACK, reason, judgement)
+            return
+        suspects = tuple(sorted(judgement.suspects))
+        if suspects != entry.suspects:
+            entry = replace(entry, suspects=suspects)
+            self._put(entry, "upstream suspect")
+        elapsed_s = max(0.0, (moment.wall_ms - entry.began_ms) / 1000)
+        if (
+            elapsed_s < DECIDE_AFTER_SHARE * entry.duration_s
+            or moment.now_s < self._began_s + TAKEOVER_S
+        ):
+            return
+        if self._is_convincing(entry, judgement, moment.now_s):
+            self._finish(entry, "version good", judgement)
+        elif elapsed_s >= DECIDE_LATEST_SHARE * entry.duration_s:
+            self._decide_late(entry, judgement)
+
+    def _is_convincing(
+        self, entry: RolloutEntry, judgement: Judgement, now_s: float
+    ) -> bool:
+        first_s = self._evidence_of(entry.service).first_answer_s.get(entry.candidate)
+        return (
+            first_s is not None
+            and now_s >= first_s + MIN_TRIAL_S
+            and judgement.answers >= MIN_ANSWERS
+            and judgement.recent_answers >= MIN_RECENT_ANSWERS
+            and judgement.evidence < DOUBT
+        )
+
+    def _decide_late(self, entry: RolloutEntry, judgement: Judgement) -> None:
+        """Decide by what there is: a service may have few calls, or none."""
+        is_idle = judgement.base_answers == 0
+        if judgement.evidence >= DOUBT and not judgement.suspects:
+            self._end(entry, RolloutPhase.ROLLED_BACK, "version in doubt", judgement)
+        elif judgement.answers == 0 and not is_idle:
+            self._end(entry, RolloutPhase.ROLLED_BACK, "no answers", judgement)
+        else:
+            self._finish(entry, "no sign of a bad version", judgement)
+
+    def _step_finish(
+        self,
+        entry: RolloutEntry,
+        versions: ServiceVersions,
+        gone: Collection[str],
+        moment: Moment,
+    ) -> None:
+        judgement = self._judge(entry, versions, moment.now_s, errors_only=True)
+        if judgement.is_bad and entry.established != entry.candidate:
+            reason = f"bad answers, evidence {judgement.evidence:.1f}"
+            self._end(entry, RolloutPhase.ROLLED_BACK, reason, judgement)
+            return
+        blocking = self.blocking(entry.service, moment.now_s)
+        if any(record.node not in gone for record in blocking):
+            return
+        if self._is_draining(entry, moment.now_s):
+            return
+        if entry.candidate in versions.serving:
+            self._end(entry, RolloutPhase.COMPLETED, "old upstreams retired")
+
+    def _settle(self, service: str, versions: ServiceVersions, moment: Moment) -> None:
+        """Record the established version of a service without a roll-out."""
+        entry = self.entries.get(service)
+        if entry is not None and settled_version(entry) in versions.serving:
+            self._unsettled.pop(service, None)
+            return
+        version = versions.majority()
+        if not versions.serving:
+            return
+        known = self._unsettled.get(service)
+        if known is None or known[0] != version:
+            self._unsettled[service] = (version, moment.now_s)
+        elif moment.now_s >= known[1] + SETTLE_S:
+            del self._unsettled[service]
+            order_version = entry.order_version if entry else 0
+            self._put(
+                RolloutEntry(
+                    service, self.token, 0, version, order_version=order_version
+                ),
+                "version established",
+            )
+
+    # --- helpers ---
+
+    def _judge(
+        self,
+        entry: RolloutEntry,
+        versions: ServiceVersions,
+        now_s: float,
+        errors_only: bool = False,
+    ) -> Judgement:
+        serving = versions.serving.get(entry.candidate, ())
+        return judge(
+            self._evidence_of(entry.service),
+            entry.candidate,
+            entry.established,
+            [record.instance for record in serving],
+            entry.suspects,
+            now_s,
+            errors_only,
+        )
+
+    def _finish(self, entry: RolloutEntry, reason: str, judgement: Judgement) -> None:
+        finished = replace(entry, share=1.0, phase=RolloutPhase.FINISHING)
+        self._put(finished, reason, judgement)
+
+    def _end(
+        self,
+        entry: RolloutEntry,
+        phase: RolloutPhase,
+        reason: str,
+        judgement: Judgement | None = None,
+    ) -> None:
+        share = 1.0 if phase is RolloutPhase.COMPLETED else 0.0
+        self._put(replace(entry, share=share, phase=phase), reason, judgement)
+
+    def _put(
+        self, entry: RolloutEntry, reason: str, judgement: Judgement | None = None
+    ) -> None:
+        """Put an entry in force under the next revision."""
+        known = self.entries.get(entry.service)
+        revision = known.revision + 1 if known else 1
+        self.entries[entry.service] = replace(
+            entry, token=self.token, revision=revision
+        )
+        judged = judgement or Judgement()
+        log.info(
+            "roll-out decided",
+            service=entry.service,
+            phase=entry.phase.value,
+            established=entry.established,
+            candidate=entry.candidate,
+            share=entry.share,
+            reason=reason,
+            answers=judged.answers,
+            base_answers=judged.base_answers,
+            evidence=round(judged.evidence, 1),
+            route=judged.route,
+            suspects=list(entry.suspects),
+            order=entry.order_version,
+            token=self.token,
+            revision=revision,
+        )
+
+    def _evidence_of(self, service: str) -> Evidence:
+        return self._evidence.setdefault(service, Evidence())
--- /dev/null
+++ b/gypsumlock/rollout/version_choice.py
@@ -0,0 +1,40 @@
+"""Applies the version table to one call."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Sequence
+from typing import Protocol, TypeVar
+
+from gypsumlock.rollout.version_table import VersionTable
+
+__all__ = ["version_tiers"]
+
+
+class _View(Protocol):
+    node: str
+    version: str
+
+
+class _Call(Protocol):
+    @property
+    def service(self) -> str: ...
+
+    sent_to: set[str]
+    trial_version: str | None
+
+
+_ViewT = TypeVar("_ViewT", bound=_View)
+
+
+def version_tiers(
+    table: VersionTable, call: _Call, views: Sequence[_ViewT]
+) -> list[Sequence[_ViewT]]:
+    """Return the upstreams that a call may be offered to, the first choice first.
+
+    A call is drawn once; a retry goes to the established version in any case.
+    """
+    if call.trial_version is None:
+        call.trial_version = table.draw(call.service)
+    trial_version = "" if call.sent_to else call.trial_version
+    return table.tiers(call.service, trial_version, views, time.time())
