--- a/gypsumlock/leases/lease_keeper.py
+++ b/gypsumlock/leases/lease_keeper.py
@@ -11,7 +11,7 @@
 
 from gypsumlock.controller import Controller
 from gypsumlock.leases.lease import decode_lease, encode_lease
-from gypsumlock.leases.lease_state import LeaseState, LeaseStep, StepKind
+from gypsumlock.leases.lease_state import DURATION_S, LeaseState, LeaseStep, StepKind
 from gypsumlock.logs import Component, get_logger
 from gypsumlock.mesh.feed_store import FeedStore
 
@@ -44,11 +44,14 @@
         not called.
     clock : Callable[[], float]
         Returns the time in seconds; goes on during a suspension.
+    duration_s : float
+        Duration of the leases, in seconds.
     """
 
     __slots__ = (
         "_candidacies",
         "_clock",
+        "_duration_s",
         "_failing",
         "_held_tokens",
         "_node",
@@ -63,7 +66,9 @@
         node: str,
         candidacies: Callable[[], Collection[str]],
         clock: Callable[[], float] = boot_time_s,
+        duration_s: float = DURATION_S,
     ) -> None:
+        self._duration_s = duration_s
         self._store = store
         self._node = node
         self._candidacies = candidacies
@@ -110,7 +115,7 @@
         candidacies = self._candidacies()
         for name in candidacies:
             if name not in self._states:
-                self._states[name] = LeaseState(self._node)
+                self._states[name] = LeaseState(self._node, self._duration_s)
         now_s = self._clock()
         for name, state in list(self._states.items()):
             self._log_change(name, state.held(now_s))
--- a/gypsumlock/leases/lease_state.py
+++ b/gypsumlock/leases/lease_state.py
@@ -26,7 +26,7 @@
 
 from gypsumlock.leases.lease import Lease
 
-__all__ = ["LeaseState", "LeaseStep", "StepKind"]
+__all__ = ["DURATION_S", "LeaseState", "LeaseStep", "StepKind"]
 
 DURATION_S = 15.0
 # Allows for clocks of different rates, and for a pause after a clock was read.
@@ -35,6 +35,9 @@
 RENEW_INTERVAL_S = 4.0
 # Interval at which a candidate reads the row of another holder.
 POLL_INTERVAL_S = 4.0
+# Largest share of the duration that both intervals may take; of a short lease they are
+# shorter.
+MAX_INTERVAL_SHARE = 4 / 15
 # Time until the next call to the store after one that failed.
 RETRY_INTERVAL_S = 0.5
 
@@ -232,14 +235,15 @@
 
     def _due_at_s(self, now_s: float) -> float:
         """Return the time of the next call to the store after a successful one."""
+        max_interval_s = MAX_INTERVAL_SHARE * self._duration_s
         if self._token is not None:
             renew_at_s = self._held_until_s - self._duration_s + MARGIN_S
-            return max(now_s, renew_at_s + RENEW_INTERVAL_S)
+            return max(now_s, renew_at_s + min(RENEW_INTERVAL_S, max_interval_s))
         if self._is_vacant(now_s):
             return now_s
         assert self._row is not None
         vacant_at_s = self._seen_at_s + self._row.duration_s + MARGIN_S
-        return min(vacant_at_s, now_s + POLL_INTERVAL_S)
+        return min(vacant_at_s, now_s + min(POLL_INTERVAL_S, max_interval_s))
 
     def _is_vacant(self, now_s: float) -> bool:
         row = self._row
--- a/gypsumlock/platform/daemon.py
+++ b/gypsumlock/platform/daemon.py
@@ -26,6 +26,7 @@
 from gypsumlock.platform.config import decode_config
 from gypsumlock.platform.endpoints import HeartbeatHandler, ReadinessHandler
 from gypsumlock.platform.names import CONFIG_KEY, CONFIG_TABLE, HEADER_NAMES
+from gypsumlock.platform.rollout import PlatformRolloutRows
 from gypsumlock.platform.settings import (
     SETTINGS_PATH_VARIABLE,
     PlatformSettings,
@@ -33,6 +34,7 @@
 )
 from gypsumlock.platform.store_client import PlatformStore
 from gypsumlock.result_codes import ResultCode
+from gypsumlock.rollout.wiring import rollout_controllers
 
 __all__ = ["main"]
 
@@ -75,6 +77,8 @@
         RecordPublisher(store, state, node.feed),
         SettingsWatcher(path, state),
     ]
+    if settings.bounds.rollout is not None:
+        controllers += rollout_controllers(store, node, PlatformRolloutRows())
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
