--- a/gypsumlock/rollout/conductor.py
+++ b/gypsumlock/rollout/conductor.py
@@ -21,9 +21,15 @@
 from gypsumlock.logs import Component, get_logger
 from gypsumlock.mesh.model import RolloutEntry, RolloutPhase, UpstreamRecord
 from gypsumlock.rollout.evidence import Evidence
-from gypsumlock.rollout.judgement import DOUBT, Judgement, judge
+from gypsumlock.rollout.judgement import Judgement, judge
 from gypsumlock.rollout.messages import VersionReport
 from gypsumlock.rollout.rows import OrderRow, StatusRow
+from gypsumlock.rollout.trial import (
+    TrialDecision,
+    decide_trial,
+    larger_share,
+    small_share,
+)
 from gypsumlock.rollout.version_table import (
     ServiceVersions,
     VersionTable,
@@ -34,20 +40,6 @@
 
 log = get_logger(Component.ROLLOUT)
 
-# Largest share of the calls that a candidate gets on trial. Less than the users' bound,
-# as the nodes' shares of a short time are not exact.
-MAX_TRIAL_SHARE = 0.08
-TRIAL_SHARE_OF_BOUND = 0.8
-# Shares of the time that an order allows after which a trial may end, and has to. The
-# rest is for the way of the news, and for the calls in flight at old upstreams.
-DECIDE_AFTER_SHARE = 0.55
-DECIDE_LATEST_SHARE = 0.65
-# Time from the first answer of a candidate to the end of its trial, in seconds. Some
-# versions fail only some seconds after their start.
-MIN_TRIAL_S = 4.5
-# Answers that a trial should have before it ends, and those in its last seconds.
-MIN_ANSWERS = 30
-MIN_RECENT_ANSWERS = 5
 # Time in which the owners report again to a new conductor, in seconds.
 TAKEOVER_S = 1.5
 # Time for which a majority has to last before it is recorded as established, and for
@@ -87,7 +79,7 @@
     __slots__ = (
         "_began_s",
         "_evidence",
-        "_share",
+        "_exposure_share",
         "_table",
         "_unsettled",
         "entries",
@@ -99,7 +91,7 @@
     ) -> None:
         self.token = token
         self._table = table
-        self._share = min(MAX_TRIAL_SHARE, TRIAL_SHARE_OF_BOUND * exposure_share)
+        self._exposure_share = exposure_share
         self._began_s = now_s
         self._evidence: dict[str, Evidence] = {}
         # Version that could become the established one of a service, and since when.
@@ -231,7 +223,7 @@
                 revision=0,
                 established=established,
                 candidate=order.candidate,
-                share=self._share if is_trial else 1.0,
+                share=small_share(self._exposure_share) if is_trial else 1.0,
                 phase=RolloutPhase.RUNNING if is_trial else RolloutPhase.FINISHING,
                 order_version=order.row_version,
                 began_ms=moment.wall_ms,
@@ -244,46 +236,34 @@
         self, entry: RolloutEntry, versions: ServiceVersions, moment: Moment
     ) -> None:
         judgement = self._judge(entry, versions, moment.now_s)
-        if judgement.is_bad:
-            reason = f"bad answers, evidence {judgement.evidence:.1f}"
-            self._end(entry, RolloutPhase.ROLLED_BACK, reason, judgement)
-            return
         suspects = tuple(sorted(judgement.suspects))
-        if suspects != entry.suspects:
+        if suspects != entry.suspects and not judgement.is_bad:
             entry = replace(entry, suspects=suspects)
-            self._put(entry, "upstream suspect")
-        elapsed_s = max(0.0, (moment.wall_ms - entry.began_ms) / 1000)
-        if (
-            elapsed_s < DECIDE_AFTER_SHARE * entry.duration_s
-            or moment.now_s < self._began_s + TAKEOVER_S
-        ):
+            self._put(entry, "upstream suspect", judgement)
+            # What is left is judged without it.
             return
-        if self._is_convincing(entry, judgement, moment.now_s):
-            self._finish(entry, "version good", judgement)
-        elif elapsed_s >= DECIDE_LATEST_SHARE * entry.duration_s:
-            self._decide_late(entry, judgement)
-
-    def _is_convincing(
-        self, entry: RolloutEntry, judgement: Judgement, now_s: float
-    ) -> bool:
-        first_s = self._evidence_of(entry.service).first_answer_s.get(entry.candidate)
-        return (
-            first_s is not None
-            and now_s >= first_s + MIN_TRIAL_S
-            and judgement.answers >= MIN_ANSWERS
-            and judgement.recent_answers >= MIN_RECENT_ANSWERS
-            and judgement.evidence < DOUBT
+        elapsed_s = max(0.0, (moment.wall_ms - entry.began_ms) / 1000)
+        first_s = self._evidence_of(entry.service).first_answer_s.get(
+            entry.candidate, float("inf")
         )
-
-    def _decide_late(self, entry: RolloutEntry, judgement: Judgement) -> None:
-        """Decide by what there is: a service may have few calls, or none."""
-        is_idle = judgement.base_answers == 0
-        if judgement.evidence >= DOUBT and not judgement.suspects:
-            self._end(entry, RolloutPhase.ROLLED_BACK, "version in doubt", judgement)
-        elif judgement.answers == 0 and not is_idle:
-            self._end(entry, RolloutPhase.ROLLED_BACK, "no answers", judgement)
+        decision = decide_trial(
+            entry, judgement, elapsed_s, moment.now_s - first_s, self._exposure_share
+        )
+        if decision is TrialDecision.CONTINUE:
+            return
+        if decision is TrialDecision.ROLL_BACK_BAD:
+            self._end(entry, RolloutPhase.ROLLED_BACK, decision.value, judgement)
+        elif moment.now_s < self._began_s + TAKEOVER_S:
+            # The owners have not reported everything to this conductor yet.
+            return
+        elif decision is TrialDecision.ENLARGE:
+            entry = replace(entry, share=larger_share(self._exposure_share))
+            self._put(entry, decision.value, judgement)
+        elif decision in (TrialDecision.FINISH, TrialDecision.FINISH_UNTESTED):
+            entry = replace(entry, share=1.0, phase=RolloutPhase.FINISHING)
+            self._put(entry, decision.value, judgement)
         else:
-            self._finish(entry, "no sign of a bad version", judgement)
+            self._end(entry, RolloutPhase.ROLLED_BACK, decision.value, judgement)
 
     def _step_finish(
         self,
@@ -292,9 +272,9 @@
         gone: Collection[str],
         moment: Moment,
     ) -> None:
-        judgement = self._judge(entry, versions, moment.now_s, errors_only=True)
+        judgement = self._judge(entry, versions, moment.now_s, finishing=True)
         if judgement.is_bad and entry.established != entry.candidate:
-            reason = f"bad answers, evidence {judgement.evidence:.1f}"
+            reason = TrialDecision.ROLL_BACK_BAD.value
             self._end(entry, RolloutPhase.ROLLED_BACK, reason, judgement)
             return
         blocking = self.blocking(entry.service, moment.now_s)
@@ -334,7 +314,7 @@
         entry: RolloutEntry,
         versions: ServiceVersions,
         now_s: float,
-        errors_only: bool = False,
+        finishing: bool = False,
     ) -> Judgement:
         serving = versions.serving.get(entry.candidate, ())
         return judge(
@@ -344,13 +324,9 @@
             [record.instance for record in serving],
             entry.suspects,
             now_s,
-            errors_only,
+            finishing,
         )
 
-    def _finish(self, entry: RolloutEntry, reason: str, judgement: Judgement) -> None:
-        finished = replace(entry, share=1.0, phase=RolloutPhase.FINISHING)
-        self._put(finished, reason, judgement)
-
     def _end(
         self,
         entry: RolloutEntry,
@@ -382,6 +358,7 @@
             answers=judged.answers,
             base_answers=judged.base_answers,
             evidence=round(judged.evidence, 1),
+            kind=judged.kind,
             route=judged.route,
             suspects=list(entry.suspects),
             order=entry.order_version,
--- a/gypsumlock/rollout/evidence.py
+++ b/gypsumlock/rollout/evidence.py
@@ -33,12 +33,9 @@
         self.errors += other.errors
         self.buckets.update(other.buckets)
 
-    def bad_count(self, slow_bucket: int | None) -> int:
-        """Return the number of errors, and of answers from a bucket on."""
-        if slow_bucket is None:
-            return self.errors
-        slow = sum(n for bucket, n in self.buckets.items() if bucket >= slow_bucket)
-        return self.errors + slow
+    def slow_count(self, slow_bucket: int) -> int:
+        """Return the number of answers from a bucket on."""
+        return sum(n for bucket, n in self.buckets.items() if bucket >= slow_bucket)
 
 
 class UpstreamEvidence:
--- a/gypsumlock/rollout/judgement.py
+++ b/gypsumlock/rollout/judgement.py
@@ -3,7 +3,8 @@
 Designed for a trial of some 50 to 200 answers within a few seconds, spread over tens
 of routes, in which a bad version fails or is slow on one route, or only after a while.
 
-An answer is bad if it is a server error, was lost, or took several times as long as the
+Errors (server errors and lost answers) and slow answers are tested apart: machines
+differ in speed, but not in errors. An answer is slow if it took several times the
 median of the established version on the same route. For each route and for all routes
 together, for the whole trial and for its last seconds, the likelihood of the bad
 answers under any constant rate is weighed against that under the established version's
@@ -17,43 +18,44 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from gypsumlock.rollout.answer_counts import BUCKETS_PER_DOUBLING
 from gypsumlock.rollout.evidence import Evidence, RouteAnswers, merge_routes
 
-__all__ = ["DOUBT", "Judgement", "judge", "log_evidence"]
+__all__ = ["Judgement", "judge", "log_evidence"]
 
 # Logarithm of the likelihood ratio from which on a version counts as bad: a false alarm
 # in a thousand trials for each of the tests.
 CONCLUSIVE = 7.0
 # The same from which on the other upstreams confirm that it is not one machine.
 CORROBORATION = 1.0
-# The same from which on a version is in doubt at the end of the trial.
-DOUBT = 2.0
-# Once all calls go to the new version, only errors count, as its upstreams are cold
-# and busier than before; the bound is higher as there are more answers.
-CONCLUSIVE_FINISHING = 14.0
+# The same once all calls go to the new version: there are many more answers, and its
+# upstreams are busier than before.
+CONCLUSIVE_FINISHING = {"error": 14.0, "slow": 25.0}
 # Smallest number of bad answers that says anything.
-MIN_BAD = 3
+MIN_BAD = 2
 # Smallest rate of bad answers assumed of the established version. A lower one would
 # condemn a version for a few failures that any upstream has.
 MIN_BASE_RATE = 0.02
-# Answers of the established version on a route from which on its own rate and its
-# median service time are used.
+MAX_BASE_RATE = 0.9
+# Answers of the established version on a route from which on its median is used.
 MIN_ROUTE_ANSWERS = 20
+# Answers by which the rate of a route is drawn towards that of all routes.
+PRIOR_ANSWERS = 25
 # Answers of an upstream from which on it is compared with the others.
-MIN_UPSTREAM_ANSWERS = 30
-# Quantile of the rates of the established version's upstreams that a good upstream may
-# have: their machines are not equally fast.
-UPSTREAM_QUANTILE = 0.8
+MIN_UPSTREAM_ANSWERS = 20
 # An answer is slow from 2.8 times the median on.
 SLOW_BUCKETS = round(1.5 * BUCKETS_PER_DOUBLING)
 
 # Name of all routes together.
 _ALL_ROUTES = ""
-_Counts = dict[str, tuple[int, int]]
+_ERROR, _SLOW = "error", "slow"
+# Kind of bad answers, and route.
+_Test = tuple[str, str]
+# Number of answers, and of bad ones.
+_Counts = dict[_Test, tuple[int, int]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +72,8 @@
     base_answers: int = 0
     # Largest logarithm of a likelihood ratio.
     evidence: float = 0.0
-    # Route of that test; empty for all routes.
+    # Kind of bad answers in that test, and its route; empty for all routes.
+    kind: str = ""
     route: str = _ALL_ROUTES
 
 
@@ -97,49 +100,61 @@
 
     __slots__ = ("_rates", "_slow_buckets", "answers")
 
-    def __init__(self, evidence: Evidence, version: str, errors_only: bool) -> None:
+    def __init__(self, evidence: Evidence, version: str) -> None:
         parts = [upstream.routes for _, upstream in evidence.of_version(version)]
         routes = merge_routes(parts)
         self.answers = sum(x.count for x in routes.values())
-        self._slow_buckets: dict[str, int] = {}
-        if not errors_only:
-            self._slow_buckets = {
-                route: _median_bucket(answers) + SLOW_BUCKETS
-                for route, answers in routes.items()
-                if answers.buckets.total() >= MIN_ROUTE_ANSWERS
-            }
-        rate = self._overall_rate(parts, routes)
-        self._rates = {_ALL_ROUTES: rate}
-        for route, (count, bad) in self.count(routes).items():
-            if count >= MIN_ROUTE_ANSWERS and route != _ALL_ROUTES:
-                self._rates[route] = _bounded_rate((bad + 1) / (count + 2))
-
-    def rate(self, route: str) -> float:
-        """Return the rate of bad answers that is expected on a route."""
-        return self._rates.get(route, self._rates[_ALL_ROUTES])
-
-    def count(self, routes: dict[str, RouteAnswers]) -> _Counts:
-        """Return the numbers of answers and of bad ones by route, and of all."""
-        counts = {
-            route: (answers.count, answers.bad_count(self._slow_buckets.get(route)))
+        self._slow_buckets = {
+            route: _median_bucket(answers) + SLOW_BUCKETS
             for route, answers in routes.items()
+            if answers.buckets.total() >= MIN_ROUTE_ANSWERS
         }
-        counts[_ALL_ROUTES] = (
-            sum(count for count, _ in counts.values()),
-            sum(bad for _, bad in counts.values()),
-        )
-        return counts
+        totals = self.count(routes)
+        upstreams = [self.count(part) for part in parts]
+        self._rates: dict[_Test, float] = {}
+        for kind in (_ERROR, _SLOW):
+            rates = [
+                bad / count
+                for count, bad in (x[kind, _ALL_ROUTES] for x in upstreams)
+                if count >= MIN_UPSTREAM_ANSWERS
+            ]
+            count, bad = totals[kind, _ALL_ROUTES]
+            rate = bad / max(count, MIN_ROUTE_ANSWERS)
+            if kind == _SLOW and len(rates) > 1:
+                # As slow as the second slowest machine is not conspicuous.
+                rate = max(rate, sorted(rates)[-2])
+            self._rates[kind, _ALL_ROUTES] = rate
+            for test, (route_count, route_bad) in totals.items():
+                if test[0] == kind and test[1] != _ALL_ROUTES:
+                    self._rates[test] = (route_bad + PRIOR_ANSWERS * rate) / (
+                        route_count + PRIOR_ANSWERS
+                    )
+                    if kind == _SLOW:
+                        self._rates[test] = max(rate, self._rates[test])
+
+    def rate(self, test: _Test) -> float:
+        """Return the rate of bad answers that is expected in a test."""
+        rate = self._rates.get(test, self._rates[test[0], _ALL_ROUTES])
+        return min(MAX_BASE_RATE, max(MIN_BASE_RATE, rate))
 
-    def _overall_rate(
-        self, parts: Iterable[dict[str, RouteAnswers]], routes: dict[str, RouteAnswers]
-    ) -> float:
-        count, bad = self.count(routes)[_ALL_ROUTES]
-        rate = bad / count if count >= MIN_ROUTE_ANSWERS else 0.0
-        upstreams = [self.count(part)[_ALL_ROUTES] for part in parts]
-        rates = sorted(b / n for n, b in upstreams if n >= MIN_UPSTREAM_ANSWERS)
-        if rates:
-            rate = max(rate, rates[int(UPSTREAM_QUANTILE * (len(rates) - 1))])
-        return _bounded_rate(rate)
+    def count(self, routes: dict[str, RouteAnswers]) -> _Counts:
+        """Return the numbers of answers and of bad ones for each test."""
+        counts: _Counts = {(_ERROR, _ALL_ROUTES): (0, 0), (_SLOW, _ALL_ROUTES): (0, 0)}
+        for route, answers in routes.items():
+            counts[_ERROR, route] = (answers.count, answers.errors)
+            slow_bucket = self._slow_buckets.get(route)
+            if slow_bucket is not None:
+                counts[_SLOW, route] = (
+                    answers.buckets.total(),
+                    answers.slow_count(slow_bucket),
+                )
+        for kind in (_ERROR, _SLOW):
+            by_route = [x for test, x in counts.items() if test[0] == kind]
+            counts[kind, _ALL_ROUTES] = (
+                sum(count for count, _ in by_route),
+                sum(bad for _, bad in by_route),
+            )
+        return counts
 
 
 def judge(
@@ -149,7 +164,7 @@
     serving: Collection[str],
     suspects: Collection[str],
     now_s: float,
-    errors_only: bool = False,
+    finishing: bool = False,
 ) -> Judgement:
     """Judge a candidate version.
 
@@ -165,11 +180,10 @@
         Those of them that were found to be suspect before.
     now_s : float
         Monotonic time.
-    errors_only : bool
-        Whether slow answers don't count.
+    finishing : bool
+        Whether the candidate gets all calls.
     """
-    base = _Baseline(evidence, established, errors_only)
-    conclusive = CONCLUSIVE_FINISHING if errors_only else CONCLUSIVE
+    base = _Baseline(evidence, established)
     trusted = {
         instance: upstream
         for instance, upstream in evidence.of_version(candidate)
@@ -179,12 +193,15 @@
     recent = {name: base.count(x.recent(now_s)) for name, x in trusted.items()}
     found = frozenset(suspects)
     is_bad = False
-    largest, largest_route = 0.0, _ALL_ROUTES
+    largest, largest_test = 0.0, ("", _ALL_ROUTES)
     for by_upstream in (whole, recent):
-        for route in {route for counts in by_upstream.values() for route in counts}:
-            weight, worst, rest = _weigh(by_upstream, route, base.rate(route))
+        for test in sorted(
+            {test for counts in by_upstream.values() for test in counts}
+        ):
+            conclusive = CONCLUSIVE_FINISHING[test[0]] if finishing else CONCLUSIVE
+            weight, worst, rest = _weigh(by_upstream, test, base.rate(test))
             if weight > largest:
-                largest, largest_route = weight, route
+                largest, largest_test = weight, test
             if weight < conclusive:
                 continue
             others = set(serving) - found - {worst}
@@ -198,15 +215,16 @@
         recent_answers=_total(recent, found),
         base_answers=base.answers,
         evidence=largest,
-        route=largest_route,
+        kind=largest_test[0],
+        route=largest_test[1],
     )
 
 
 def _weigh(
-    by_upstream: dict[str, _Counts], route: str, rate: float
+    by_upstream: dict[str, _Counts], test: _Test, rate: float
 ) -> tuple[float, str, float]:
     """Return the evidence of all upstreams, the worst, and the evidence of the rest."""
-    counts = {name: x[route] for name, x in by_upstream.items() if route in x}
+    counts = {name: x[test] for name, x in by_upstream.items() if test in x}
     count = sum(n for n, _ in counts.values())
     bad = sum(b for _, b in counts.values())
     worst = max(counts, key=lambda name: (log_evidence(*counts[name], rate), name))
@@ -218,16 +236,12 @@
 
 def _total(by_upstream: dict[str, _Counts], excluded: Collection[str]) -> int:
     return sum(
-        counts[_ALL_ROUTES][0]
+        counts[_ERROR, _ALL_ROUTES][0]
         for name, counts in by_upstream.items()
         if name not in excluded
     )
 
 
-def _bounded_rate(rate: float) -> float:
-    return min(0.9, max(MIN_BASE_RATE, rate))
-
-
 def _median_bucket(answers: RouteAnswers) -> int:
     half = answers.buckets.total() / 2
     seen = 0
--- a/gypsumlock/rollout/trial_pool.py
+++ b/gypsumlock/rollout/trial_pool.py
@@ -18,7 +18,7 @@
 
 MIN_POOL_SIZE = 2
 # Time for which an upstream has its turn, in seconds.
-TURN_S = 1.0
+TURN_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/gypsumlock/rollout/version_choice.py
+++ b/gypsumlock/rollout/version_choice.py
@@ -12,8 +12,11 @@
 
 
 class _View(Protocol):
-    node: str
-    version: str
+    @property
+    def node(self) -> str: ...
+
+    @property
+    def version(self) -> str: ...
 
 
 class _Call(Protocol):
--- a/gypsumlock/rollout/version_table.py
+++ b/gypsumlock/rollout/version_table.py
@@ -39,8 +39,11 @@
 
 
 class _Versioned(Protocol):
-    node: str
-    version: str
+    @property
+    def node(self) -> str: ...
+
+    @property
+    def version(self) -> str: ...
 
 
 _ViewT = TypeVar("_ViewT", bound=_Versioned)
