--- a/gypsumlock/rollout/trial.py
+++ b/gypsumlock/rollout/trial.py
@@ -36,6 +36,8 @@
 MIN_SMALL_ANSWERS = 8
 MIN_ANSWERS = 30
 MIN_RECENT_ANSWERS = 5
+# Answers that are needed from the other upstreams if one is suspect.
+MIN_ANSWERS_BESIDE_SUSPECT = 15
 # Logarithm of the likelihood ratio from which on a version is in doubt, and is rolled
 # back at the latest end of its trial: one good version in fifty for each of the tests.
 DOUBT = 2.0
@@ -115,6 +117,8 @@
     """Decide by what there is: a service may have few calls, or none."""
     if judgement.evidence >= LATE_DOUBT:
         return TrialDecision.ROLL_BACK_DOUBTFUL
+    if judgement.suspects and judgement.answers < MIN_ANSWERS_BESIDE_SUSPECT:
+        return TrialDecision.ROLL_BACK_DOUBTFUL
     if judgement.answers == 0 and judgement.base_answers > 0:
         return TrialDecision.ROLL_BACK_UNANSWERED
     return TrialDecision.FINISH_UNTESTED
--- a/gypsumlock/rollout/version_choice.py
+++ b/gypsumlock/rollout/version_choice.py
@@ -35,9 +35,9 @@
 ) -> list[Sequence[_ViewT]]:
     """Return the upstreams that a call may be offered to, the first choice first.
 
-    A call is drawn once; a retry goes to the established version in any case.
+    A call is drawn once; its retries prefer the established version.
     """
     if call.trial_version is None:
         call.trial_version = table.draw(call.service)
-    trial_version = "" if call.sent_to else call.trial_version
-    return table.tiers(call.service, trial_version, views, time.time())
+    is_retry = bool(call.sent_to)
+    return table.tiers(call.service, call.trial_version, is_retry, views, time.time())
--- a/gypsumlock/rollout/version_table.py
+++ b/gypsumlock/rollout/version_table.py
@@ -149,7 +149,12 @@
         return [view for view in views if view.version in versions.allowed]
 
     def tiers(
-        self, service: str, trial_version: str, views: Sequence[_ViewT], wall_s: float
+        self,
+        service: str,
+        trial_version: str,
+        is_retry: bool,
+        views: Sequence[_ViewT],
+        wall_s: float,
     ) -> list[Sequence[_ViewT]]:
         """Return the upstreams that a call may be offered to, the first choice first.
 
@@ -159,6 +164,9 @@
             The service.
         trial_version : str
             Candidate version that the call was drawn for; empty for none.
+        is_retry : bool
+            Whether the call was sent before: it goes to the established version then,
+            as long as that accepts calls.
         views : Sequence[_ViewT]
             Upstreams that the call has not been sent to.
         wall_s : float
@@ -172,11 +180,11 @@
             first = [view for view in views if view.version == entry.candidate]
             rest = [view for view in views if view.version == versions.established]
             if first and entry.candidate != versions.established:
-                return [first, rest]
+                return [rest, first] if is_retry else [first, rest]
         if entry is None or not _is_trial(versions):
             return [[view for view in views if view.version in versions.allowed]]
         tiers: list[Sequence[_ViewT]] = []
-        if trial_version == entry.candidate:
+        if trial_version == entry.candidate and not is_retry:
             nodes = versions.pool.nodes_in_turn(wall_s)
             tiers.append([view for view in views if view.node in nodes])
         tiers.append([x for x in views if x.version == versions.established])
--- a/tests/standins/mesh_fleet.py
+++ b/tests/standins/mesh_fleet.py
@@ -10,6 +10,7 @@
 import msgspec
 from result import Ok, Result
 
+from gypsumlock.controller import Controller
 from gypsumlock.mesh.config_watcher import ConfigWatcher
 from gypsumlock.mesh.http_messages import HttpRequest
 from gypsumlock.mesh.http_server import HttpHandler, ServerConnection
@@ -25,9 +26,11 @@
 from gypsumlock.mesh.node import MeshNode
 from gypsumlock.mesh.record_publisher import RecordPublisher
 from gypsumlock.mesh.record_watcher import RecordWatcher
-from gypsumlock.mesh.state import MeshBounds, MeshState
+from gypsumlock.mesh.state import MeshBounds, MeshState, RolloutBounds
 from gypsumlock.mesh.upstream_registry import Departure, Heartbeat
+from gypsumlock.platform.rollout import PlatformRolloutRows
 from gypsumlock.result_codes import Fault
+from gypsumlock.rollout.wiring import rollout_controllers
 from tests.standins.feed_store import MemoryFeedStore, StoreAccess
 from tests.standins.mesh_upstream import MeshUpstream
 from tests.standins.ports import free_ports
@@ -74,6 +77,8 @@
     stop_requested: asyncio.Event = field(default_factory=asyncio.Event)
     task: asyncio.Task[None] | None = None
     sequence: int = 0
+    # Version of the upstream's software.
+    version: str = ""
 
     def send_heartbeat(
         self, slots: int = 4, leaving: bool = False, born_ms: int = 1000
@@ -91,6 +96,7 @@
                 self.sequence,
                 0.0,
                 born_ms,
+                self.version,
             )
         )
         self.node.notify_upstream_changed()
@@ -151,10 +157,15 @@
     ----------
     first_start : bool
         Whether the nodes are told that the whole fleet starts for the first time.
+    rollout : RolloutBounds | None
+        Bounds on roll-outs; None where there are none.
     """
 
-    def __init__(self, first_start: bool = False) -> None:
+    def __init__(
+        self, first_start: bool = False, rollout: RolloutBounds | None = None
+    ) -> None:
         self._first_start = first_start
+        self._rollout = rollout
         self.store = MemoryFeedStore()
         self.hosts: list[MeshHost] = []
         self._pool = httpcore.AsyncConnectionPool(max_connections=200)
@@ -186,6 +197,7 @@
         instance: str = "",
         link_mbps: float = 0.0,
         memory_mb: float = 0.0,
+        version: str = "",
     ) -> MeshHost:
         """Start a host; its upstream sends a heartbeat at once unless `slots` is 0."""
         upstream = MeshUpstream(instance or f"i-{name}")
@@ -195,6 +207,7 @@
         host = self._build(
             name, service, zone, upstream, addresses, link_mbps, memory_mb
         )
+        host.version = version
         self.hosts.append(host)
         await self.start(host)
         if slots:
@@ -218,11 +231,14 @@
         """Start the node of a host."""
         state = host.node.state
         await host.node.listen(_ReadinessHandler(state), _ReadinessHandler(state))
-        controllers = [
+        controllers: list[Controller] = [
             ConfigWatcher(host.store, host.node.feed, "op", "config", _decode),
             RecordWatcher(host.store, state, host.node.feed),
             RecordPublisher(host.store, state, host.node.feed),
         ]
+        if self._rollout is not None:
+            rows = PlatformRolloutRows()
+            controllers += rollout_controllers(host.store, host.node, rows)
         host.task = asyncio.create_task(host.node.run(controllers, host.stop_requested))
 
     async def wait_until_ready(self, upstreams: int | None = None) -> None:
@@ -283,7 +299,7 @@
         link_mbps: float = 0.0,
         memory_mb: float = 0.0,
     ) -> MeshHost:
-        bounds = MeshBounds(6.0, 0.2, 56.0, 10.0)
+        bounds = MeshBounds(6.0, 0.2, 56.0, 10.0, rollout=self._rollout)
         state = MeshState(
             name,
             zone,
--- a/tests/standins/rollout_simulation.py
+++ b/tests/standins/rollout_simulation.py
@@ -241,7 +241,7 @@
         trial_version = caller.table.draw(SERVICE)
         views = [node.record for node in self.nodes]
         wall_s = WALL_START_S + self.now_s
-        for tier in caller.table.tiers(SERVICE, trial_version, views, wall_s):
+        for tier in caller.table.tiers(SERVICE, trial_version, False, views, wall_s):
             if not tier:
                 continue
             for record in self.rng.choices(tier, k=4):
