--- a/gypsumlock/logs.py
+++ b/gypsumlock/logs.py
@@ -43,6 +43,7 @@
     OPERATOR = "operator"
     UPSTREAM = "upstream"
     QUOTA = "quota"
+    ROLLOUT = "rollout"
 
 
 # Numeric value of the level WARNING in loguru.
--- a/gypsumlock/mesh/call_classifier.py
+++ b/gypsumlock/mesh/call_classifier.py
@@ -60,6 +60,9 @@
     refusal_code: ResultCode = ResultCode.CALL_NO_UPSTREAM
     # Lot of the token that the call was charged with.
     charge: Lot | None = None
+    # Version under roll-out that the call goes to first; empty for none, and None
+    # before that was decided.
+    trial_version: str | None = None
 
     @property
     def outcome_unknown(self) -> bool:
--- a/gypsumlock/mesh/caller_protocol.py
+++ b/gypsumlock/mesh/caller_protocol.py
@@ -30,6 +30,7 @@
 from gypsumlock.mesh.recent_table import RecentTable
 from gypsumlock.mesh.round_trip import RoundTripEstimator
 from gypsumlock.result_codes import ResultCode
+from gypsumlock.rollout.messages import VersionVerdict
 
 __all__ = ["CallerProtocol", "PendingCall", "ProtocolListener"]
 
@@ -97,6 +98,7 @@
         "on_grant",
         "pending",
         "round_trip",
+        "verdict",
     )
 
     def __init__(
@@ -115,6 +117,8 @@
         self.round_trip = RoundTripEstimator()
         # Receives the grants of the node; None if they are ignored.
         self.on_grant: Callable[[Grant], None] | None = None
+        # Last answer to a version report; its reader resets it to None.
+        self.verdict: VersionVerdict | None = None
 
     def handle_message(self, message: Message) -> None:
         """Dispatch an outcome, a chunk of a response, a load report or a pong."""
@@ -137,6 +141,8 @@
         elif isinstance(message, Grant):
             if self.on_grant is not None:
                 self.on_grant(message)
+        elif isinstance(message, VersionVerdict):
+            self.verdict = message
         elif isinstance(message, Pong) and message.number in self._ping_sent_at_s:
             sent_at_s = self._ping_sent_at_s.pop(message.number)
             self.round_trip.add_sample(self.loop.time() - sent_at_s)
--- a/gypsumlock/mesh/frames.py
+++ b/gypsumlock/mesh/frames.py
@@ -28,6 +28,7 @@
 from gypsumlock.mesh.quota_messages import Grant, GrantRequest
 from gypsumlock.mesh.write_buffer import UnsentBytes, write_with_head
 from gypsumlock.result_codes import ResultCode
+from gypsumlock.rollout.messages import VersionReport, VersionVerdict
 
 __all__ = [
     "AnswerChunk",
@@ -104,6 +105,8 @@
     | FeedHeartbeat
     | GrantRequest
     | Grant
+    | VersionReport
+    | VersionVerdict
 )
 
 _REQUEST_TAG = 1
--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -10,6 +10,7 @@
 
 from gypsumlock.logs import Component, get_logger
 from gypsumlock.mesh.admission import DEADLINE_MARGIN_FACTOR, AdmissionQueue
+from gypsumlock.mesh.boot_clock import boot_time_s
 from gypsumlock.mesh.call_handler import CallHandler
 from gypsumlock.mesh.model import (
     EXPIRED_S,
@@ -87,6 +88,8 @@
         incarnation = self._state.registry.current
         if incarnation is None or incarnation.leaving or self._state.stopping:
             return False
+        if not self._state.version_gate.accepts(boot_time_s()):
+            return False
         return not self._client.is_backing_off()
 
     def load(self, route: str = "") -> OwnerLoad:
@@ -229,6 +232,12 @@
             outcome = await self._client.send(request, ticket.deadline_at_s)
             if isinstance(outcome, Answer):
                 service_s = self._loop.time() - started_at_s
+            self._state.version_gate.record_outcome(request.route, outcome, service_s)
+        except asyncio.CancelledError:
+            if self._loop.time() >= ticket.deadline_at_s:
+                # The caller waits no longer than that for an answer.
+                self._state.version_gate.record_lost_answer(request.route)
+            raise
         finally:
             self._release_slot(ticket, service_s)
         log.info(
@@ -264,6 +273,8 @@
             return ResultCode.CALL_LEAVING
         if incarnation.service != request.service:
             return ResultCode.CALL_NO_UPSTREAM
+        if not self._state.version_gate.accepts(boot_time_s()):
+            return ResultCode.CALL_LEAVING
         if self._client.is_backing_off():
             return ResultCode.CALL_UPSTREAM_UNREACHABLE
         if self._state.memory.is_high():
--- a/gypsumlock/mesh/peer_connection.py
+++ b/gypsumlock/mesh/peer_connection.py
@@ -32,6 +32,7 @@
 )
 from gypsumlock.mesh.quota_messages import Grant, GrantRequest
 from gypsumlock.result_codes import ResultCode
+from gypsumlock.rollout.messages import VersionReport, VersionVerdict
 
 __all__ = ["PeerConnection"]
 
@@ -181,6 +182,19 @@
             if request.number in protocol.pending:
                 protocol.send(Withdraw(request.number))
 
+    async def send_report(self, report: VersionReport) -> bool:
+        """Send a version report; return False if the node can't be reached."""
+        protocol = self._protocol or await self._connect()
+        return protocol is not None and protocol.send(report)
+
+    def take_verdict(self) -> VersionVerdict | None:
+        """Return the answer to a version report that arrived since the last call."""
+        protocol = self._protocol
+        if protocol is None:
+            return None
+        verdict, protocol.verdict = protocol.verdict, None
+        return verdict
+
     def withdraw_queued_calls(self) -> None:
         """Ask the other node to refuse every call that still waits for a slot."""
         for protocol in self.protocols():
--- a/gypsumlock/mesh/peer_server.py
+++ b/gypsumlock/mesh/peer_server.py
@@ -32,6 +32,7 @@
 from gypsumlock.mesh.quota_messages import Grant, GrantRequest
 from gypsumlock.mesh.write_buffer import has_unsent_bytes
 from gypsumlock.result_codes import ResultCode
+from gypsumlock.rollout.messages import ReportHandler, VersionReport
 
 __all__ = ["InboundConnection", "PeerServer"]
 
@@ -84,6 +85,11 @@
                 self.send(self._server.grant(message))
         elif isinstance(message, Ping):
             self.send(Pong(message.number))
+        elif isinstance(message, VersionReport):
+            handler = self._server.report_handler
+            verdict = handler.handle_report(message) if handler else None
+            if verdict is not None:
+                self.send(verdict)
 
     def send_update(
         self, message: RecordUpdate | PackedDelta | ConfigSnapshot | FeedHeartbeat
@@ -201,6 +207,7 @@
         "meter",
         "pacer",
         "relay",
+        "report_handler",
     )
 
     def __init__(
@@ -217,6 +224,8 @@
         self.meter = meter
         self.relay = relay
         self.connections: set[InboundConnection] = set()
+        # Receives version reports; None where there are no roll-outs.
+        self.report_handler: ReportHandler | None = None
         self._server: asyncio.Server | None = None
         # Answers requests for quotas; None if this node grants none.
         self.grant: Callable[[GrantRequest], Grant] | None = None
--- a/gypsumlock/mesh/state.py
+++ b/gypsumlock/mesh/state.py
@@ -12,12 +12,19 @@
 from gypsumlock.mesh.boot_clock import boot_time_s
 from gypsumlock.mesh.link_meter import LinkMeter, usable_mbps
 from gypsumlock.mesh.memory_account import MemoryAccount
-from gypsumlock.mesh.model import HeaderNames, NodeAddresses, UpstreamRecord
+from gypsumlock.mesh.model import (
+    HeaderNames,
+    NodeAddresses,
+    RolloutEntry,
+    UpstreamRecord,
+)
 from gypsumlock.mesh.pacer import Pacer
 from gypsumlock.mesh.published_record import PublishedRecord
 from gypsumlock.mesh.route_table import RouteTable
 from gypsumlock.mesh.upstream_registry import UpstreamRegistry
 from gypsumlock.organisations.config_contact import ConfigContact
+from gypsumlock.rollout.version_gate import VersionGate
+from gypsumlock.rollout.version_table import VersionTable
 
 __all__ = [
     "MeshBounds",
@@ -186,11 +193,14 @@
         "publish_needed",
         "published",
         "registry",
+        "rollouts",
         "route_table",
         "route_table_listeners",
         "service",
         "stopping_since_s",
         "upstream_probed",
+        "version_gate",
+        "versions",
         "zone",
     )
 
@@ -218,6 +228,10 @@
         self.pacer = Pacer(self.link_meter)
         self.memory = MemoryAccount(memory_mb)
         self.registry = UpstreamRegistry(addresses.upstream)
+        self.versions = VersionTable()
+        self.version_gate = VersionGate(self.versions, self.registry)
+        # Decisions on roll-outs that this node publishes, or has published.
+        self.rollouts: tuple[RolloutEntry, ...] = ()
         # Set whenever the node's own record has to be published again.
         self.publish_needed = asyncio.Event()
         self.published = PublishedRecord()
--- /dev/null
+++ b/gypsumlock/rollout/version_choice.py
@@ -0,0 +1,43 @@
+"""Applies the version table to one call."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Sequence
+from typing import Protocol, TypeVar
+
+from gypsumlock.rollout.version_table import VersionTable
+
+__all__ = ["version_tiers"]
+
+
+class _View(Protocol):
+    @property
+    def node(self) -> str: ...
+
+    @property
+    def version(self) -> str: ...
+
+
+class _Call(Protocol):
+    @property
+    def service(self) -> str: ...
+
+    sent_to: set[str]
+    trial_version: str | None
+
+
+_ViewT = TypeVar("_ViewT", bound=_View)
+
+
+def version_tiers(
+    table: VersionTable, call: _Call, views: Sequence[_ViewT]
+) -> list[Sequence[_ViewT]]:
+    """Return the upstreams that a call may be offered to, the first choice first.
+
+    A call is drawn once; its retries prefer the established version.
+    """
+    if call.trial_version is None:
+        call.trial_version = table.draw(call.service)
+    is_retry = bool(call.sent_to)
+    return table.tiers(call.service, call.trial_version, is_retry, views, time.time())
