Limit the calls of an upstream to what it can take

Cause: an upstream whose slots are partly used by health checks and by calls that nobody waits for any more is full below the slots that it announces. It then resets connections or stops responding, and the owner went on sending.

Without calls at low concurrency to compare with, the limit is halved and grows by one for every 8 answered calls. Losses that are as frequent at low concurrency come from a faulty upstream; its limit is lifted for 10 s. A limit grows after 1 to 8 s without a loss. While an upstream is limited, the slot of a cancelled call stays occupied until the deadline of the call.

Neutral where no call is lost at more than one call in flight: the limit is the number of slots then. Losses under 3 in 100 change nothing.

Limitation: an upstream that takes a single call although it announces five counts as faulty and isn't limited.

Ruled out: lowering by one at each loss without data from less concurrency; under a closed loop a faulty upstream went down to one call. Occupying the slots of calls that got no response until their deadlines: an upstream that ignores a call does not work on it.

--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -11,10 +11,17 @@
 from gypsumlock.logs import Component, get_logger
 from gypsumlock.mesh.admission import DEADLINE_MARGIN_FACTOR, AdmissionQueue
 from gypsumlock.mesh.call_handler import CallHandler
-from gypsumlock.mesh.model import Answer, CallOutcome, CallRequest, OwnerLoad, Refusal
+from gypsumlock.mesh.model import (
+    Answer,
+    CallOutcome,
+    CallRequest,
+    OwnerLoad,
+    Refusal,
+)
 from gypsumlock.mesh.pacer import CHUNK_BYTES
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.mesh.ticket import AdmissionDecision, Ticket, TicketState
+from gypsumlock.mesh.upstream_capacity import UpstreamCapacity
 from gypsumlock.mesh.upstream_client import UpstreamClient
 from gypsumlock.result_codes import ResultCode
 
@@ -45,6 +52,7 @@
     """
 
     __slots__ = (
+        "_capacity",
         "_client",
         "_loop",
         "_queue",
@@ -59,6 +67,7 @@
         self._loop = asyncio.get_running_loop()
         self._queue = AdmissionQueue()
         self._client = UpstreamClient(state)
+        self._capacity = UpstreamCapacity()
         self._waiters: dict[Ticket, asyncio.Future[None]] = {}
         # Tickets of queued calls by the `id` of their request.
         self._tickets: dict[int, Ticket] = {}
@@ -68,7 +77,8 @@
         """Apply what the registry now holds about the upstream."""
         incarnation = self._state.registry.current
         if incarnation is not None and incarnation.slots > 0:
-            self._queue.slots = incarnation.slots
+            self._capacity.change_upstream(incarnation.instance, incarnation.slots)
+            self._queue.slots = self._capacity.slots
         self._client.end_backoff()
 
     def busy(self) -> bool:
@@ -212,13 +222,23 @@
 
     async def _exchange(self, request: CallRequest, ticket: Ticket) -> CallOutcome:
         started_at_s = self._loop.time()
+        concurrency = self._queue.in_flight
         service_s: float | None = None
+        outcome: CallOutcome | None = None
         try:
             outcome = await self._client.send(request, ticket.deadline_at_s)
             if isinstance(outcome, Answer):
                 service_s = self._loop.time() - started_at_s
         finally:
-            self._release_slot(ticket, service_s)
+            now_s = self._loop.time()
+            capacity = self._capacity
+            capacity.record_end(ticket, outcome, concurrency, started_at_s, now_s)
+            self._queue.slots = capacity.slots
+            ends_at_s = capacity.occupied_until_s(ticket, outcome, now_s)
+            if ends_at_s > now_s:
+                self._loop.call_at(ends_at_s, self._release_slot, ticket, None)
+            else:
+                self._release_slot(ticket, service_s)
         log.info(
             "call finished by the owner",
             call=request.request_id.decode("latin-1"),
