Stop waiting for upstreams that do not respond

Cause: an upstream that stops responding on a connection once it is full held the call until its deadline. A repeatable call had no time for another upstream then; if it was a nested call, the call that made it failed too, and its work was lost.

--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from gypsumlock.logs import Component, get_logger
 from gypsumlock.mesh.admission import DEADLINE_MARGIN_FACTOR, AdmissionQueue
@@ -226,7 +227,10 @@
         service_s: float | None = None
         outcome: CallOutcome | None = None
         try:
-            outcome = await self._client.send(request, ticket.deadline_at_s)
+            max_wait_s = math.inf
+            if request.repeatable:
+                max_wait_s = self._capacity.max_wait_s(ticket, started_at_s)
+            outcome = await self._client.send(request, ticket.deadline_at_s, max_wait_s)
             if isinstance(outcome, Answer):
                 service_s = self._loop.time() - started_at_s
         finally:
--- a/gypsumlock/mesh/upstream_client.py
+++ b/gypsumlock/mesh/upstream_client.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from gypsumlock.logs import Component, get_logger
 from gypsumlock.mesh.http_text import encode_request, forwardable_headers
@@ -77,7 +78,12 @@
         """Send calls again at once, since the upstream has changed."""
         self._backoff_until_s = float("-inf")
 
-    async def send(self, request: CallRequest, deadline_at_s: float) -> CallOutcome:
+    async def send(
+        self,
+        request: CallRequest,
+        deadline_at_s: float,
+        max_wait_s: float = math.inf,
+    ) -> CallOutcome:
         """Send a call that holds a slot, and return its outcome.
 
         Parameters
@@ -86,6 +92,8 @@
             The call.
         deadline_at_s : float
             Monotonic time of its deadline, in seconds.
+        max_wait_s : float
+            Time after which the response is no longer awaited, in seconds.
         """
         incarnation = self._state.registry.current
         if incarnation is None or incarnation.leaving:
@@ -109,7 +117,7 @@
             request, self._state.header_names, incarnation.instance, left_s
         )
         try:
-            async with asyncio.timeout(left_s + OVERDUE_RESPONSE_S):
+            async with asyncio.timeout(min(max_wait_s, left_s + OVERDUE_RESPONSE_S)):
                 response = await connection.exchange(
                     request.method, request.request_id, data
                 )
