--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from gypsumlock.logs import Component, get_logger
 from gypsumlock.mesh.admission import DEADLINE_MARGIN_FACTOR, AdmissionQueue
@@ -23,6 +24,7 @@
 from gypsumlock.mesh.pacer import CHUNK_BYTES
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.mesh.ticket import AdmissionDecision, Ticket, TicketState
+from gypsumlock.mesh.upstream_capacity import UpstreamCapacity
 from gypsumlock.mesh.upstream_client import UpstreamClient
 from gypsumlock.result_codes import ResultCode
 
@@ -53,6 +55,7 @@
     """
 
     __slots__ = (
+        "_capacity",
         "_client",
         "_loop",
         "_queue",
@@ -67,6 +70,7 @@
         self._loop = asyncio.get_running_loop()
         self._queue = AdmissionQueue()
         self._client = UpstreamClient(state)
+        self._capacity = UpstreamCapacity()
         self._waiters: dict[Ticket, asyncio.Future[None]] = {}
         # Tickets of queued calls by the `id` of their request.
         self._tickets: dict[int, Ticket] = {}
@@ -76,7 +80,8 @@
         """Apply what the registry now holds about the upstream."""
         incarnation = self._state.registry.current
         if incarnation is not None and incarnation.slots > 0:
-            self._queue.slots = incarnation.slots
+            self._capacity.change_upstream(incarnation.instance, incarnation.slots)
+            self._queue.slots = self._capacity.slots
         self._client.end_backoff()
 
     def busy(self) -> bool:
@@ -227,9 +232,14 @@
 
     async def _exchange(self, request: CallRequest, ticket: Ticket) -> CallOutcome:
         started_at_s = self._loop.time()
+        concurrency = self._queue.in_flight
         service_s: float | None = None
+        outcome: CallOutcome | None = None
         try:
-            outcome = await self._client.send(request, ticket.deadline_at_s)
+            max_wait_s = math.inf
+            if request.repeatable:
+                max_wait_s = self._capacity.max_wait_s(ticket, started_at_s)
+            outcome = await self._client.send(request, ticket.deadline_at_s, max_wait_s)
             if isinstance(outcome, Answer):
                 service_s = self._loop.time() - started_at_s
             self._state.version_gate.record_outcome(request.route, outcome, service_s)
@@ -239,7 +249,15 @@
                 self._state.version_gate.record_lost_answer(request.route)
             raise
         finally:
-            self._release_slot(ticket, service_s)
+            now_s = self._loop.time()
+            capacity = self._capacity
+            capacity.record_end(ticket, outcome, concurrency, started_at_s, now_s)
+            self._queue.slots = capacity.slots
+            ends_at_s = capacity.occupied_until_s(ticket, outcome, now_s)
+            if ends_at_s > now_s:
+                self._loop.call_at(ends_at_s, self._release_slot, ticket, None)
+            else:
+                self._release_slot(ticket, service_s)
         log.info(
             "call finished by the owner",
             call=request.request_id.decode("latin-1"),
