Send large request bodies once the owner has accepted the call

The owner counts the time of the transfer when it decides. A call whose body was not sent completely has not run, so it is answered 503 if the connection is lost.

Ruled out: a separate inquiry for room (its answer would be outdated when the body arrives); a reservation without a ticket (it would bypass the order of the queue).

--- a/gypsumlock/mesh/call_handler.py
+++ b/gypsumlock/mesh/call_handler.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 
 from gypsumlock.mesh.model import CallOutcome, CallRequest
+from gypsumlock.mesh.request_body import BodyReceiver
 
 __all__ = ["CallHandler"]
 
@@ -13,8 +14,18 @@
     """Runs calls from other nodes."""
 
     @abstractmethod
-    async def run_call(self, request: CallRequest) -> CallOutcome:
-        """Run a call and return its outcome; cancelled when the caller cancels it."""
+    async def run_call(
+        self, request: CallRequest, receive_body: BodyReceiver | None = None
+    ) -> CallOutcome:
+        """Run a call and return its outcome; cancelled when the caller cancels it.
+
+        Parameters
+        ----------
+        request : CallRequest
+            The call.
+        receive_body : BodyReceiver | None
+            Called once the call is accepted; None if the request has its body.
+        """
 
     @abstractmethod
     def withdraw(self, request: CallRequest) -> bool:
--- a/gypsumlock/mesh/caller_protocol.py
+++ b/gypsumlock/mesh/caller_protocol.py
@@ -25,9 +25,12 @@
     OwnerLoad,
     Refusal,
     peer_lost_failure,
+    peer_unreachable_refusal,
 )
+from gypsumlock.mesh.pacer import Pacer
 from gypsumlock.mesh.quota_messages import Grant
 from gypsumlock.mesh.recent_table import RecentTable
+from gypsumlock.mesh.request_body import BodyChunk, BodyRequest, OutgoingBody
 from gypsumlock.mesh.round_trip import RoundTripEstimator
 from gypsumlock.result_codes import ResultCode
 from gypsumlock.rollout.messages import VersionVerdict
@@ -38,7 +41,14 @@
 class PendingCall:
     """A call that has no outcome yet."""
 
-    __slots__ = ("attempt", "body", "future", "may_fail_over", "repeatable")
+    __slots__ = (
+        "attempt",
+        "body",
+        "future",
+        "may_fail_over",
+        "outgoing_body",
+        "repeatable",
+    )
 
     def __init__(
         self,
@@ -46,14 +56,30 @@
         repeatable: bool,
         may_fail_over: Callable[[], bool],
         attempt: Attempt | None = None,
+        outgoing_body: OutgoingBody | None = None,
     ) -> None:
         self.attempt = attempt
+        # A request body that is sent once the other node requests it.
+        self.outgoing_body = outgoing_body
         self.future = future
         self.repeatable = repeatable
         self.may_fail_over = may_fail_over
         # The part of the response body that has arrived.
         self.body = bytearray()
 
+    def resolve_lost(self) -> None:
+        """Set the outcome of a call whose other node can't be reached any more.
+
+        It may have run, unless its body was not sent completely.
+        """
+        if self.outgoing_body is not None and not self.outgoing_body.is_sent:
+            if self.attempt is not None:
+                self.attempt.is_refused = True
+            code = ResultCode.CALL_UPSTREAM_UNREACHABLE
+            self.resolve(peer_unreachable_refusal(code))
+        else:
+            self.resolve(peer_lost_failure(ResultCode.CALL_UNKNOWN_OUTCOME))
+
     def resolve(self, outcome: CallOutcome) -> None:
         """Set the outcome, unless the caller was cancelled."""
         if not self.future.done():
@@ -89,11 +115,15 @@
         Counts the bytes written to the machine's network link.
     memory : MemoryAccount | None
         Counts the parts of answers that have arrived; None for an account of its own.
+    pacer : Pacer | None
+        Schedules the chunks of large bodies on the link; None for one of its own.
     """
 
     __slots__ = (
+        "_body_tasks",
         "_given_up",
         "_listener",
+        "_pacer",
         "_ping_sent_at_s",
         "on_grant",
         "pending",
@@ -106,9 +136,13 @@
         listener: ProtocolListener,
         meter: LinkMeter,
         memory: MemoryAccount | None = None,
+        pacer: Pacer | None = None,
     ) -> None:
         super().__init__(meter, memory)
         self._listener = listener
+        self._pacer = pacer or Pacer(meter)
+        # Request bodies that are being sent.
+        self._body_tasks: set[asyncio.Task[None]] = set()
         self.pending: dict[int, PendingCall] = {}
         # Attempts that were given up; the other node may still refuse them.
         self._given_up: RecentTable[int, Attempt] = RecentTable()
@@ -136,6 +170,8 @@
             if partial is not None:
                 partial.body += message.body
                 self.memory.answers.hold(len(message.body))
+        elif isinstance(message, BodyRequest):
+            self._send_body(message.number)
         elif isinstance(message, LoadReport):
             self._listener.store_load_report(message.load)
         elif isinstance(message, Grant):
@@ -147,6 +183,19 @@
             sent_at_s = self._ping_sent_at_s.pop(message.number)
             self.round_trip.add_sample(self.loop.time() - sent_at_s)
 
+    def _send_body(self, number: int) -> None:
+        """Send the body of a call for as long as the call is pending."""
+        pending = self.pending.get(number)
+        if pending is None or pending.outgoing_body is None:
+            return
+
+        def write(chunk: bytes) -> bool:
+            return number in self.pending and self.send(BodyChunk(number, chunk))
+
+        task = self.loop.create_task(pending.outgoing_body.send(self._pacer, write))
+        self._body_tasks.add(task)
+        task.add_done_callback(self._body_tasks.discard)
+
     def remove_pending(self, number: int) -> PendingCall | None:
         """Stop waiting for the outcome of a call; return the call if it was pending."""
         pending = self.pending.pop(number, None)
@@ -187,12 +236,14 @@
         if pending.attempt is not None:
             self._given_up[number] = pending.attempt
         self.send(Cancel(number))
-        pending.resolve(peer_lost_failure(ResultCode.CALL_UNKNOWN_OUTCOME))
+        pending.resolve_lost()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail all pending calls with an unknown outcome: each of them may have run."""
         super().connection_lost(exc)
+        for task in self._body_tasks:
+            task.cancel()
         for number, pending in list(self.pending.items()):
             self.remove_pending(number)
-            pending.resolve(peer_lost_failure(ResultCode.CALL_UNKNOWN_OUTCOME))
+            pending.resolve_lost()
         self._listener.forget_protocol(self)
--- a/gypsumlock/mesh/directory.py
+++ b/gypsumlock/mesh/directory.py
@@ -199,7 +199,9 @@
         if connection is None:
             address = self._records[node].peer_address
             state = self._state
-            connection = PeerConnection(address, state.link_meter, state.memory)
+            connection = PeerConnection(
+                address, state.link_meter, state.memory, state.pacer
+            )
             connection.ignore_silence = self._state.stopping
             connection.on_grant = self.on_grant
             self._connections[node] = connection
--- a/gypsumlock/mesh/frames.py
+++ b/gypsumlock/mesh/frames.py
@@ -26,6 +26,7 @@
 from gypsumlock.mesh.memory_account import MemoryAccount
 from gypsumlock.mesh.model import Answer, CallRequest, Failure, OwnerLoad, Refusal
 from gypsumlock.mesh.quota_messages import Grant, GrantRequest
+from gypsumlock.mesh.request_body import BodyChunk, BodyRequest
 from gypsumlock.mesh.write_buffer import UnsentBytes, write_with_head
 from gypsumlock.result_codes import ResultCode
 from gypsumlock.rollout.messages import VersionReport, VersionVerdict
@@ -107,6 +108,8 @@
     | Grant
     | VersionReport
     | VersionVerdict
+    | BodyRequest
+    | BodyChunk
 )
 
 _REQUEST_TAG = 1
--- a/gypsumlock/mesh/model.py
+++ b/gypsumlock/mesh/model.py
@@ -304,6 +304,8 @@
     first_offer: bool = True
     # Organisation that the call belongs to; empty for none.
     organisation: Text = ""
+    # Size of the body if it is sent separately, once the owner requests it.
+    body_bytes: Count = 0
 
 
 class Answer(msgspec.Struct, array_like=True, tag=2):
--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -22,6 +22,7 @@
     Refusal,
 )
 from gypsumlock.mesh.pacer import CHUNK_BYTES
+from gypsumlock.mesh.request_body import BodyReceiver
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.mesh.ticket import AdmissionDecision, Ticket, TicketState
 from gypsumlock.mesh.upstream_capacity import UpstreamCapacity
@@ -111,7 +112,9 @@
             egress_delay_s=round(self._state.pacer.egress_delay_s(), 3),
         )
 
-    async def run_call(self, request: CallRequest) -> CallOutcome:
+    async def run_call(
+        self, request: CallRequest, receive_body: BodyReceiver | None = None
+    ) -> CallOutcome:
         """Execute or refuse a call of this node's clients or of another node."""
         now_s = self._loop.time()
         code = self._refusal_code(request, now_s)
@@ -122,6 +125,8 @@
             transfer_s = self._state.pacer.egress_delay_s(request.response_bytes)
         if transfer_s * DEADLINE_MARGIN_FACTOR > request.deadline_left_s:
             return self._refuse(request, ResultCode.CALL_OVERLOADED, transfer_s)
+        # A body that is still to be sent takes time before the call can start.
+        transfer_s += self._state.link_meter.transmission_s(request.body_bytes)
         ticket = Ticket(
             route=request.route,
             rank=request.rank,
@@ -134,18 +139,47 @@
             organisation=request.organisation,
         )
         decision = self._queue.offer(ticket, now_s)
-        if decision.state is TicketState.WAITING:
-            self._tickets[id(request)] = ticket
-            try:
-                decision = await self._wait_for_slot(ticket)
-            finally:
-                del self._tickets[id(request)]
-        if decision.state is TicketState.DROPPED:
-            return self._refuse(
-                request, ResultCode.CALL_OVERLOADED, decision.retry_after_s
-            )
+        body: asyncio.Task[None] | None = None
+        if receive_body is not None and decision.state is not TicketState.DROPPED:
+            body = self._loop.create_task(receive_body())
+        try:
+            if decision.state is TicketState.WAITING:
+                decision = await self._wait_for_admission(request, ticket)
+            if decision.state is TicketState.DROPPED:
+                return self._refuse(
+                    request, ResultCode.CALL_OVERLOADED, decision.retry_after_s
+                )
+            if body is not None and not await self._wait_for_body(body, ticket):
+                return self._refuse(request, ResultCode.CALL_OVERLOADED, 0.0)
+        finally:
+            if body is not None:
+                body.cancel()
         return await self._execute(request, ticket)
 
+    async def _wait_for_admission(
+        self, request: CallRequest, ticket: Ticket
+    ) -> AdmissionDecision:
+        """Wait for a slot; the call can be withdrawn meanwhile."""
+        self._tickets[id(request)] = ticket
+        try:
+            return await self._wait_for_slot(ticket)
+        finally:
+            del self._tickets[id(request)]
+
+    async def _wait_for_body(self, body: asyncio.Task[None], ticket: Ticket) -> bool:
+        """Wait for the body of an admitted call; free its slot if none arrives."""
+        is_complete = False
+        try:
+            async with asyncio.timeout_at(ticket.deadline_at_s - ticket.service_s):
+                await body
+            is_complete = True
+        except TimeoutError:
+            pass
+        finally:
+            if not is_complete:
+                self._release_slot(ticket, None)
+        return is_complete
+
     def withdraw(self, request: CallRequest) -> bool:
         ticket = self._tickets.get(id(request))
         if ticket is None:
--- a/gypsumlock/mesh/peer_connection.py
+++ b/gypsumlock/mesh/peer_connection.py
@@ -30,7 +30,9 @@
     OwnerLoad,
     peer_unreachable_refusal,
 )
+from gypsumlock.mesh.pacer import Pacer
 from gypsumlock.mesh.quota_messages import Grant, GrantRequest
+from gypsumlock.mesh.request_body import split_off_body
 from gypsumlock.result_codes import ResultCode
 from gypsumlock.rollout.messages import VersionReport, VersionVerdict
 
@@ -57,6 +59,8 @@
         Counts the bytes written to the machine's network link.
     memory : MemoryAccount | None
         Counts the parts of answers that have arrived; None for an account of its own.
+    pacer : Pacer | None
+        Schedules the chunks of large bodies on the link; None for one of its own.
     """
 
     __slots__ = (
@@ -64,6 +68,7 @@
         "_last_number",
         "_memory",
         "_meter",
+        "_pacer",
         "_protocol",
         "_silence_timer",
         "_silent_protocols",
@@ -76,10 +81,15 @@
     )
 
     def __init__(
-        self, address: str, meter: LinkMeter, memory: MemoryAccount | None = None
+        self,
+        address: str,
+        meter: LinkMeter,
+        memory: MemoryAccount | None = None,
+        pacer: Pacer | None = None,
     ) -> None:
         self.address = address
         self._meter = meter
+        self._pacer = pacer
         self._memory = memory
         self._protocol: CallerProtocol | None = None
         # Silent connections on which calls still wait for their responses.
@@ -129,7 +139,11 @@
             # The connection was idle, not silent, before this call.
             protocol.last_received_s = protocol.loop.time()
         protocol.pending[number] = PendingCall(
-            future, request.repeatable, may_fail_over, attempt
+            future,
+            request.repeatable,
+            may_fail_over,
+            attempt,
+            split_off_body(request, protocol.loop.time()),
         )
         attempt.is_with_owner = True
         if not protocol.send(request):
@@ -242,7 +256,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, protocol = await loop.create_connection(
-                    lambda: CallerProtocol(self, self._meter, self._memory),
+                    lambda: CallerProtocol(
+                        self, self._meter, self._memory, self._pacer
+                    ),
                     host,
                     int(port),
                 )
--- a/gypsumlock/mesh/peer_server.py
+++ b/gypsumlock/mesh/peer_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 from gypsumlock.logs import Component, get_logger
 from gypsumlock.mesh.call_handler import CallHandler
@@ -30,6 +31,7 @@
 from gypsumlock.mesh.model import Answer, CallRequest, OwnerLoad, Refusal
 from gypsumlock.mesh.pacer import Pacer, split_into_chunks
 from gypsumlock.mesh.quota_messages import Grant, GrantRequest
+from gypsumlock.mesh.request_body import BodyChunk, BodyRequest, IncomingBody
 from gypsumlock.mesh.write_buffer import has_unsent_bytes
 from gypsumlock.result_codes import ResultCode
 from gypsumlock.rollout.messages import ReportHandler, VersionReport
@@ -45,13 +47,24 @@
 class InboundConnection(FramedProtocol, FollowerConnection):
     """Server side of a connection from another node."""
 
-    __slots__ = ("_begun", "_requests", "_server", "_tasks")
+    __slots__ = (
+        "_begun",
+        "_bodies",
+        "_requests",
+        "_reserved_bytes",
+        "_server",
+        "_tasks",
+    )
 
     def __init__(self, server: PeerServer) -> None:
         super().__init__(server.meter, server.memory)
         self._server = server
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._requests: dict[int, CallRequest] = {}
+        # Bodies that were requested and are not complete yet.
+        self._bodies: dict[int, IncomingBody] = {}
+        # Bytes that are counted for the body of each call.
+        self._reserved_bytes: dict[int, int] = {}
         # Numbers of the calls whose tasks have begun.
         self._begun: set[int] = set()
 
@@ -72,6 +85,10 @@
         """Start, cancel or refuse a call, register a follower, or respond to a ping."""
         if isinstance(message, CallRequest):
             self._start_call(message)
+        elif isinstance(message, BodyChunk):
+            body = self._bodies.get(message.number)
+            if body is not None:
+                body.add(message.body)
         elif isinstance(message, Cancel):
             self._cancel_call(message.number)
         elif isinstance(message, Withdraw):
@@ -100,13 +117,15 @@
     def _start_call(self, request: CallRequest) -> None:
         """Run a call, unless its body can't be held."""
         number = request.number
-        if not self.memory.requests.reserve(len(request.body)):
+        size_bytes = len(request.body) + request.body_bytes
+        if not self.memory.requests.reserve(size_bytes):
             code = ResultCode.CALL_NO_MEMORY
             self.send(Refusal(number, code, 0.0, False, OwnerLoad()))
             return
         task = self.loop.create_task(self._run_call(request))
         self._tasks[number] = task
         self._requests[number] = request
+        self._reserved_bytes[number] = size_bytes
         # A task that is cancelled before it has begun runs no code of its own.
         task.add_done_callback(lambda _: self._end_call(request))
 
@@ -118,7 +137,7 @@
             self._tasks[number].cancel()
 
     def _end_call(self, request: CallRequest) -> None:
-        self.memory.requests.release(len(request.body))
+        self.memory.requests.release(self._reserved_bytes.pop(request.number))
         if request.number not in self._begun:
             code = ResultCode.CALL_OVERLOADED
             self.send(Refusal(request.number, code, 0.0, False, OwnerLoad()))
@@ -129,7 +148,10 @@
     async def _run_call(self, request: CallRequest) -> None:
         self._begun.add(request.number)
         target_at_s = self.loop.time() + request.target_left_s
-        outcome = await self._server.handler.run_call(request)
+        receive_body = partial(self._receive_body, request)
+        outcome = await self._server.handler.run_call(
+            request, receive_body if request.body_bytes else None
+        )
         outcome.number = request.number
         if isinstance(outcome, Answer):
             body_bytes = len(outcome.body)
@@ -142,6 +164,16 @@
             self._log_wait(request, body_bytes, self.loop.time() - began_s)
         self.send(outcome)
 
+    async def _receive_body(self, request: CallRequest) -> None:
+        """Request the body of an accepted call, and wait until it is complete."""
+        body = IncomingBody(request.body_bytes)
+        self._bodies[request.number] = body
+        try:
+            self.send(BodyRequest(request.number))
+            request.body = await body.wait()
+        finally:
+            del self._bodies[request.number]
+
     def _log_wait(self, request: CallRequest, body_bytes: int, wait_s: float) -> None:
         """Log that an answer waited longer for the link than its own bytes take."""
         own_s = self._server.meter.transmission_s(body_bytes)
