--- a/gypsumlock/mesh/call_responder.py
+++ b/gypsumlock/mesh/call_responder.py
@@ -81,6 +81,8 @@
         """
         took_s = self._loop.time() - call.request.received_s
         self._metrics.record_latency(call.route.name, took_s)
+        organisation = call.organisation
+        named = {} if organisation is None else {"organisation": organisation.name}
         log.info(
             message,
             call=call.request_id.decode("latin-1"),
@@ -91,6 +93,7 @@
             upstreams=sorted(call.sent_to),
             status=status,
             took_ms=round(took_s * 1000, 1),
+            **named,
         )
 
     def _send_error(
--- a/tests/test_organisation_calls.py
+++ b/tests/test_organisation_calls.py
@@ -5,6 +5,8 @@
 import unittest
 from dataclasses import replace
 
+from loguru import logger
+
 from gypsumlock.mesh.model import MeshConfig, Organisation
 from gypsumlock.organisations import digest_key
 from tests.standins.mesh_fleet import MeshFleet, make_config
@@ -75,6 +77,19 @@
             with self.subTest(path=path, headers=headers):
                 self.assertEqual(await self.sent_headers(path, headers), expected)
 
+    async def test_rank_of_the_organisation_goes_before_that_of_the_route(self) -> None:
+        lines: list[str] = []
+        handler = logger.add(lines.append, level=0, serialize=True)
+        self.addCleanup(logger.remove, handler)
+        await self.start(make_keyed_config(1, make_organisation(rank=3)))
+        for headers, rank in ((bearer(), 3), ({}, 1)):
+            lines.clear()
+            await self.fleet.call(self.host, "/open/x", headers=headers)
+            ranked = [line for line in lines if '"rank"' in line]
+            # The owner, and the dispatcher.
+            self.assertEqual(len(ranked), 2)
+            self.assertTrue(all(f'"rank": {rank}' in line for line in ranked))
+
     async def test_nothing_changes_without_organisations(self) -> None:
         await self.start(make_config())
         headers = bearer() | {"Tenant": "from-client"}
