--- a/gypsumlock/quota/parts.py
+++ b/gypsumlock/quota/parts.py
@@ -6,22 +6,24 @@
 1 / 1.6 of the quota.
 
 Proof of the bound. Let a limit have the rate r and the burst b, and be divided into P
-parts. A part's bucket has the rate r / P and the capacity c = max(b / P, 1). It starts
-empty, holds at most c, and what it grants in a time T is at most c + r T / P. A new
-holder starts with an empty bucket after the old one has stopped, which is as if the
-bucket had lost tokens. Tokens that are returned unused are entered as if they had never
-been granted (`bucket.py`). A token is used at most a lifetime L after it was granted,
-as its user counts L from before that. So the tokens used in a window W were granted in
-a time of W + L, and there are at most
+parts. A part's bucket has the rate r / P and the capacity c, which is b / P or a little
+more. It starts empty, holds at most c, and what it grants in a time T is at most
+c + r T / P. A new holder starts with an empty bucket after the old one has stopped,
+which is as if the bucket had lost tokens. Tokens that are returned unused are entered
+as if they had never been granted (`bucket.py`). A token is used at most a lifetime L
+after it was granted, as its user counts L from before that. So the tokens used in a
+window W were granted in a time of W + L, and there are at most
 
-    P c + r (W + L) <= r W + b + max(0, P - b) + r L
+    P c + r (W + L) = r W + b + (P c - b) + r L
 
 of them. The bound is (r W + b) (1 + e) + a, with the excess e and the allowance a. It
-holds if max(0, P - b) + r L <= e (r W + b) + a. `part_count` returns the largest P for
-which this is so. L is a quarter of e W, so r L uses a quarter of the excess at most;
-the rest is left for the time between the charge of a call and its arrival. Where the
-settings allow so little that the condition fails even for one part, the rate of the
-bucket is lowered until the sum is within the bound.
+holds if (P c - b) + r L <= e (r W + b) + a. A bucket needs room for one token; P is the
+largest number for which that fits. L is a quarter of e W, so r L uses a quarter of the
+excess at most. A bucket of one token would lose what accrues until the next call, so c
+is at least three as long as P c - b uses no more than half of the tolerance. The rest
+is left for the time between the charge of a call and its arrival. Where the settings
+allow so little that the condition fails even for one part, the rate of the bucket is
+lowered until the sum is within the bound.
 """
 
 from __future__ import annotations
@@ -49,6 +51,11 @@
 MAX_LIFETIME_S = 0.25
 # A shorter one would end before the grant arrives.
 MIN_LIFETIME_S = 0.02
+# Capacity of a bucket where the tolerance has room for it. With one token, a sixth of
+# the usual demand of an organisation with 6 calls per second was refused.
+USEFUL_CAPACITY = 3.0
+# Share of the tolerance that it may take.
+SPARE_SHARE = 0.5
 # Lowest rate of a bucket, in tokens per second.
 MIN_RATE_PER_S = 1e-6
 # Share of the excess that the lifetime of grants takes.
@@ -71,8 +78,7 @@
 
 def part_count(rate_per_s: float, burst: float, bounds: QuotaBounds) -> int:
     """Return the number of parts of a limit."""
-    tolerance = bounds.excess * (rate_per_s * bounds.window_s + burst)
-    tolerance += bounds.allowance - rate_per_s * grant_lifetime_s(bounds)
+    tolerance = _tolerance(rate_per_s, burst, bounds)
     parts = MAX_PARTS
     while parts > 1 and max(0.0, parts - burst) > tolerance:
         parts -= 1
@@ -82,11 +88,20 @@
 def part_limit(rate_per_s: float, burst: float, bounds: QuotaBounds) -> PartLimit:
     """Return the limit of each part of a limit."""
     parts = part_count(rate_per_s, burst, bounds)
+    spare = SPARE_SHARE * max(0.0, _tolerance(rate_per_s, burst, bounds))
+    useful = min(USEFUL_CAPACITY, (burst + spare) / parts)
+    capacity = max(1.0, burst / parts, useful)
     bound = (rate_per_s * bounds.window_s + burst) * (1 + bounds.excess)
-    allowed = bound + bounds.allowance - max(burst, parts)
+    allowed = bound + bounds.allowance - parts * capacity
     max_rate_per_s = allowed / (bounds.window_s + grant_lifetime_s(bounds))
     rate_per_s = max(MIN_RATE_PER_S, min(rate_per_s, max_rate_per_s))
-    return PartLimit(rate_per_s / parts, max(1.0, burst / parts))
+    return PartLimit(rate_per_s / parts, capacity)
+
+
+def _tolerance(rate_per_s: float, burst: float, bounds: QuotaBounds) -> float:
+    """Return how far the capacities of all parts may exceed the burst."""
+    excess = bounds.excess * (rate_per_s * bounds.window_s + burst)
+    return excess + bounds.allowance - rate_per_s * grant_lifetime_s(bounds)
 
 
 def part_slots(organisation: Organisation, bounds: QuotaBounds) -> tuple[int, ...]:
--- a/tests/test_quota_bound.py
+++ b/tests/test_quota_bound.py
@@ -22,6 +22,8 @@
 from tests.standins.simulated_clock import run_simulated
 
 NODES = 5
+# Little more than what the parts may grant in all.
+BOUNDS = QuotaBounds(window_s=5.0, excess=0.03, allowance=2.0)
 # Time within which all nodes apply a version, in seconds.
 APPLY_S = 1.0
 
@@ -133,7 +135,7 @@
         run_simulated(self.run_events(events, seed))
 
     async def run_events(self, events: list[tuple[str, int, float]], seed: int) -> None:
-        fleet = QuotaFleet(NODES, _organisations(1.0), seed)
+        fleet = QuotaFleet(NODES, _organisations(1.0), seed, BOUNDS)
         loop = asyncio.get_running_loop()
         # Start of each version, and the scale of its limit.
         versions = [(0.0, 1.0)]
@@ -177,10 +179,10 @@
         self, fleet: QuotaFleet, versions: list[tuple[float, float]], end_s: float
     ) -> None:
         """Check each version's time, and all windows against the highest limit."""
-        window_s = QUOTA_BOUNDS.window_s
+        window_s = BOUNDS.window_s
         changes = [*versions, (end_s, 1.0)]
         spans = [
-            (start_s + APPLY_S + grant_lifetime_s(QUOTA_BOUNDS), next_s, scale)
+            (start_s + APPLY_S + grant_lifetime_s(BOUNDS), next_s, scale)
             for (start_s, scale), (next_s, _) in pairwise(changes)
         ]
         spans.append((0.0, end_s, max(scale for _, scale in versions)))
@@ -189,7 +191,7 @@
                 times_s = fleet.uses_s.get(organisation.name, [])
                 inside = [x for x in times_s if start_s <= x <= next_s]
                 bound = organisation.rate_per_s * window_s + organisation.burst
-                bound = bound * (1 + QUOTA_BOUNDS.excess) + QUOTA_BOUNDS.allowance
+                bound = bound * (1 + BOUNDS.excess) + BOUNDS.allowance
                 self.assertLessEqual(most_in_window(inside, window_s), bound)
 
 
