--- a/gypsumlock/mesh/call_responder.py
+++ b/gypsumlock/mesh/call_responder.py
@@ -107,8 +107,11 @@
         request_id = request.header(self._id_header)
         if request_id is not None:
             headers.append((self._id_header, request_id))
-        if entry.http_status in (TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE):
+        if entry.http_status == SERVICE_UNAVAILABLE:
             headers.append((b"retry-after", b"%.3f" % retry_after_s))
+        elif entry.http_status == TOO_MANY_REQUESTS:
+            # Of many calls over a quota, no two may be told the same time.
+            headers.append((b"retry-after", b"%.6f" % retry_after_s))
         body = msgspec.json.encode({"code": code.value, "name": code.name})
         self._metrics.increment(f"refused.{code.name.lower()}")
         connection.send_response(entry.http_status, headers, body)
--- a/tests/standins/mesh_fleet.py
+++ b/tests/standins/mesh_fleet.py
@@ -10,6 +10,8 @@
 import msgspec
 from result import Ok, Result
 
+from gypsumlock.controller import Controller
+from gypsumlock.leases import LeaseKeeper
 from gypsumlock.mesh.config_watcher import ConfigWatcher
 from gypsumlock.mesh.http_messages import HttpRequest
 from gypsumlock.mesh.http_server import HttpHandler, ServerConnection
@@ -25,7 +27,7 @@
 from gypsumlock.mesh.node import MeshNode
 from gypsumlock.mesh.record_publisher import RecordPublisher
 from gypsumlock.mesh.record_watcher import RecordWatcher
-from gypsumlock.mesh.state import MeshBounds, MeshState
+from gypsumlock.mesh.state import MeshBounds, MeshState, QuotaBounds
 from gypsumlock.mesh.upstream_registry import Departure, Heartbeat
 from gypsumlock.result_codes import Fault
 from tests.standins.feed_store import MemoryFeedStore, StoreAccess
@@ -151,10 +153,15 @@
     ----------
     first_start : bool
         Whether the nodes are told that the whole fleet starts for the first time.
+    quota : QuotaBounds | None
+        Bounds of the quotas in the nodes' settings.
     """
 
-    def __init__(self, first_start: bool = False) -> None:
+    def __init__(
+        self, first_start: bool = False, quota: QuotaBounds | None = None
+    ) -> None:
         self._first_start = first_start
+        self._quota = quota
         self.store = MemoryFeedStore()
         self.hosts: list[MeshHost] = []
         self._pool = httpcore.AsyncConnectionPool(max_connections=200)
@@ -218,7 +225,10 @@
         """Start the node of a host."""
         state = host.node.state
         await host.node.listen(_ReadinessHandler(state), _ReadinessHandler(state))
-        controllers = [
+        granter = host.node.quota_granter
+        granter.leases = LeaseKeeper(host.store, state.node, granter.refresh)
+        controllers: list[Controller] = [
+            granter.leases,
             ConfigWatcher(host.store, host.node.feed, "op", "config", _decode),
             RecordWatcher(host.store, state, host.node.feed),
             RecordPublisher(host.store, state, host.node.feed),
@@ -283,7 +293,7 @@
         link_mbps: float = 0.0,
         memory_mb: float = 0.0,
     ) -> MeshHost:
-        bounds = MeshBounds(6.0, 0.2, 56.0, 10.0)
+        bounds = MeshBounds(6.0, 0.2, 56.0, 10.0, quota=self._quota)
         state = MeshState(
             name,
             zone,
