--- a/tests/standins/mesh_fleet.py
+++ b/tests/standins/mesh_fleet.py
@@ -11,6 +11,7 @@
 from result import Ok, Result
 
 from gypsumlock.controller import Controller
+from gypsumlock.leases import LeaseKeeper
 from gypsumlock.mesh.config_watcher import ConfigWatcher
 from gypsumlock.mesh.http_messages import HttpRequest
 from gypsumlock.mesh.http_server import HttpHandler, ServerConnection
@@ -29,6 +30,7 @@
 from gypsumlock.mesh.state import (
     MeshBounds,
     MeshState,
+    QuotaBounds,
     RevocationBounds,
     RolloutBounds,
 )
@@ -166,6 +168,8 @@
         Bounds on the removal of API keys.
     rollout : RolloutBounds | None
         Bounds on roll-outs; None where there are none.
+    quota : QuotaBounds | None
+        Bounds of the quotas in the nodes' settings.
     """
 
     def __init__(
@@ -173,10 +177,12 @@
         first_start: bool = False,
         revocation: RevocationBounds | None = None,
         rollout: RolloutBounds | None = None,
+        quota: QuotaBounds | None = None,
     ) -> None:
         self._first_start = first_start
         self._revocation = revocation
         self._rollout = rollout
+        self._quota = quota
         self.store = MemoryFeedStore()
         self.hosts: list[MeshHost] = []
         self._pool = httpcore.AsyncConnectionPool(max_connections=200)
@@ -242,7 +248,10 @@
         """Start the node of a host."""
         state = host.node.state
         await host.node.listen(_ReadinessHandler(state), _ReadinessHandler(state))
+        granter = host.node.quota_granter
+        granter.leases = LeaseKeeper(host.store, state.node, granter.refresh)
         controllers: list[Controller] = [
+            granter.leases,
             ConfigWatcher(host.store, host.node.feed, "op", "config", _decode),
             RecordWatcher(host.store, state, host.node.feed),
             RecordPublisher(host.store, state, host.node.feed),
@@ -315,6 +324,7 @@
             0.2,
             56.0,
             10.0,
+            quota=self._quota,
             revocation=self._revocation,
             rollout=self._rollout,
         )
