--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -145,6 +145,8 @@
         self._store_address = store_address
         self.process: subprocess.Popen[bytes] | None = None
         self.sequence = 0
+        # Limits of the machine, as the settings name them; none by default.
+        self.limits: dict[str, float] = {}
 
     async def start(self) -> None:
         """Start the upstream and the node."""
@@ -160,6 +162,7 @@
                 "zone": "a",
                 "app_addr": self.upstream.address,
                 "service": self.service,
+                "limits": self.limits,
             },
             "network": {"listen": self.addresses, "seeds": []},
             "platform": {
@@ -261,6 +264,13 @@
     def __init__(self, directory: Path) -> None:
         self.store = MemoryFeedStore()
         self.nodes: list[PlatformNode] = []
+        # Limits on clients in the configurations that are written from now on.
+        self.client_limits: dict[str, float] = {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1000000,
+            "header_timeout_s": 3,
+            "idle_timeout_s": 15,
+        }
         self._directory = directory
         self._store_address = free_address()
         self._store_server: CallServer | None = None
@@ -279,12 +289,6 @@
     def configure(self, version: int, *routes: dict[str, Any]) -> None:
         """Write a version of the configuration as the operator does."""
         service = {"health_path": "/healthz", "max_conns": 100}
-        limits = {
-            "max_header_bytes": 16384,
-            "max_body_bytes": 1000000,
-            "header_timeout_s": 3,
-            "idle_timeout_s": 15,
-        }
         resources = [
             *routes,
             {
@@ -292,14 +296,20 @@
                 "metadata": {"name": "finder"},
                 "spec": service,
             },
-            {"resource_type": "limits", "metadata": {}, "spec": limits},
+            {"resource_type": "limits", "metadata": {}, "spec": self.client_limits},
         ]
         document = {"version": f"r{version}", "resources": resources}
         self.store.put("op", "config", json.dumps(document).encode())
 
-    async def add_node(self, name: str, service: str = "finder") -> PlatformNode:
-        """Add a node and start it with its upstream."""
+    async def add_node(
+        self,
+        name: str,
+        service: str = "finder",
+        limits: dict[str, float] | None = None,
+    ) -> PlatformNode:
+        """Add a node, on a machine with some limits, and start it with its upstream."""
         node = PlatformNode(self._directory, name, service, self._store_address)
+        node.limits = limits or {}
         self.nodes.append(node)
         await node.start()
         return node
