Bound what clients can take of a node's memory and descriptors

Cause: the parser passes on a header or a trailer only once it has read all of it, so that no limit saw one without end. A body behind a complete request had no timer and was held for good; the timer for heads ended bodies that arrived slowly. Nothing limited the number of connections. uvicorn limits heads only with its other parser.

Change: - bytes are counted on the way into the parser, from its last progress, in slices of 16 KiB (section_limit.py); for gypsumlockd in a subclass of uvicorn's protocol - trailers are dropped; heads of many small headers are counted in the memory account - timers for the head, and for a body, a connection or an answer on which nothing moves; unfinished frames of other nodes are given up after 15 s - a body that makes no progress makes room for others when memory runs short - max_fds in the settings bounds connections; at the limit the oldest one without a request is closed - http_server.py is split: server_connection.py, request_reader.py, write_watch.py; two mutations and three others name their new files

Ruled out: a minimum rate for bodies, reserving announced lengths, closing the newest connection; see docs/design/clients.md.

--- a/gypsumlock/daemon.py
+++ b/gypsumlock/daemon.py
@@ -20,6 +20,7 @@
 import anyio
 from result import Err, Ok, Result
 
+from gypsumlock import defaults
 from gypsumlock.composition import Node, build_node
 from gypsumlock.controller import Controller
 from gypsumlock.http_app import HttpServer, listen, make_server
@@ -84,9 +85,12 @@
     started = await node.peer_server.start(node.options.listen.peers)
     if isinstance(started, Err):
         return _print_faults([started.err_value])
-    call_server = make_server(node.call_app)
+    call_server = make_server(node.call_app, defaults.CALL_CONNECTION_SHARE)
     calls_closed = anyio.Event()
-    api_servers = [make_server(node.local_app), make_server(node.operator_app)]
+    api_servers = [
+        make_server(app, defaults.API_CONNECTION_SHARE)
+        for app in (node.local_app, node.operator_app)
+    ]
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_serve_calls, call_server, call_socket, calls_closed)
         for server, sock in zip(
--- a/gypsumlock/defaults.py
+++ b/gypsumlock/defaults.py
@@ -83,6 +83,12 @@
 MAX_SNAPSHOT_BYTES: Final = 4_194_304
 MAX_PLATFORM_RESPONSE_BYTES: Final = 8_388_608
 MAX_HEADER_BYTES: Final = 65_536
+# Time without progress after which a client's connection is closed.
+CLIENT_STALL_TIMEOUT_S: Final = 60.0
+# Most connections to the server for calls, and to each of the two APIs, as a share of
+# the descriptors that the process may open.
+CALL_CONNECTION_SHARE: Final = 0.3
+API_CONNECTION_SHARE: Final = 0.05
 MAX_ROUTES: Final = 5_000
 MAX_EXCEPTIONS: Final = 500
 MIN_SECRET_BYTES: Final = 16
--- a/gypsumlock/http_app.py
+++ b/gypsumlock/http_app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import resource
 import socket
 from collections.abc import Iterator
 from typing import Any, TypeVar
@@ -13,6 +14,7 @@
 from result import Err, Ok, Result
 
 from gypsumlock import defaults
+from gypsumlock.bounded_protocol import BoundedConfig, BoundedProtocol
 from gypsumlock.proxy.request import Receive, Send
 from gypsumlock.result_codes import Fault, ResultCode, get_code_entry
 
@@ -53,11 +55,20 @@
         yield
 
 
-def make_server(app: Any) -> HttpServer:
-    """Return an HTTP server for an ASGI application."""
-    config = uvicorn.Config(
+def make_server(app: Any, connection_share: float = 0.0) -> HttpServer:
+    """Return an HTTP server for an ASGI application.
+
+    Parameters
+    ----------
+    app : Any
+        The application.
+    connection_share : float
+        Most connections that the server keeps, as a share of the descriptors that the
+        process may open; 0 for no limit.
+    """
+    config = BoundedConfig(
         app,
-        http="httptools",
+        http=BoundedProtocol,
         ws="none",
         lifespan="off",
         interface="asgi3",
@@ -68,8 +79,9 @@
         # Whether forwarded headers are trusted is up to the upstream.
         proxy_headers=False,
         timeout_keep_alive=defaults.SERVER_KEEP_ALIVE_S,
-        h11_max_incomplete_event_size=defaults.MAX_HEADER_BYTES,
     )
+    max_fds = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    config.max_connections = int(connection_share * max_fds)
     config.load()
     return HttpServer(config)
 
--- a/gypsumlock/mesh/frames.py
+++ b/gypsumlock/mesh/frames.py
@@ -45,6 +45,9 @@
 # A frame above this size is counted while it is received. Updates of the configuration
 # are smaller, so that large requests don't hold them up.
 MAX_UNCOUNTED_FRAME_BYTES = 1_048_576
+# Time in which a part of an unfinished frame must arrive, in seconds. Calls on a
+# connection that was silent for a second are given up already.
+FRAME_STALL_TIMEOUT_S = 15.0
 _LENGTH = struct.Struct(">I")
 
 
@@ -154,6 +157,7 @@
         "_buffer",
         "_frame_bytes",
         "_meter",
+        "_stall_timer",
         "_unsent",
         "last_received_s",
         "loop",
@@ -167,6 +171,8 @@
         self._unsent = UnsentBytes(self.memory.answers)
         # Size of the frame that is being received, if it is counted.
         self._frame_bytes = 0
+        # Runs while a frame is unfinished.
+        self._stall_timer: asyncio.TimerHandle | None = None
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
         # Monotonic time at which data last arrived.
@@ -181,6 +187,8 @@
         """Return what is counted for the connection."""
         self._unsent.resume()
         self._count_frame(0)
+        if self._stall_timer is not None:
+            self._stall_timer.cancel()
 
     def pause_writing(self) -> None:
         """Count what the other node does not read."""
@@ -216,6 +224,23 @@
             frame.release()
         if start:
             del buffer[:start]
+        if buffer and self._stall_timer is None:
+            self._schedule_stall_check(FRAME_STALL_TIMEOUT_S)
+
+    def _schedule_stall_check(self, delay_s: float) -> None:
+        self._stall_timer = self.loop.call_later(delay_s, self._check_stall)
+
+    def _check_stall(self) -> None:
+        """Close the connection if the rest of a frame does not arrive."""
+        self._stall_timer = None
+        if not self._buffer:
+            return
+        left_s = self.last_received_s + FRAME_STALL_TIMEOUT_S - self.loop.time()
+        if left_s > 0:
+            self._schedule_stall_check(left_s)
+            return
+        log.warning("message of another node unfinished", size_bytes=len(self._buffer))
+        self.abort()
 
     def _count_frame(self, size_bytes: int) -> bool:
         """Count the frame being received; return False if it can't be held."""
--- a/gypsumlock/mesh/http_messages.py
+++ b/gypsumlock/mesh/http_messages.py
@@ -31,7 +31,15 @@
 class HttpRequest:
     """One complete request."""
 
-    __slots__ = ("body", "headers", "keep_alive", "method", "received_s", "target")
+    __slots__ = (
+        "body",
+        "headers",
+        "held_bytes",
+        "keep_alive",
+        "method",
+        "received_s",
+        "target",
+    )
 
     def __init__(
         self,
@@ -41,6 +49,7 @@
         body: bytes,
         keep_alive: bool,
         received_s: float,
+        held_bytes: int = 0,
     ) -> None:
         self.method = method
         self.target = target
@@ -50,6 +59,8 @@
         self.keep_alive = keep_alive
         # Monotonic time at which the request was complete.
         self.received_s = received_s
+        # Bytes that are reserved for the request.
+        self.held_bytes = held_bytes
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or None."""
--- a/gypsumlock/mesh/memory_account.py
+++ b/gypsumlock/mesh/memory_account.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Final
 
 __all__ = ["MAX_BUFFERED_BYTES", "ByteBudget", "MemoryAccount"]
@@ -40,7 +41,7 @@
         Account of all kinds of body together; None if they are counted apart.
     """
 
-    __slots__ = ("_account", "max_bytes", "used_bytes")
+    __slots__ = ("_account", "max_bytes", "on_shortage", "used_bytes")
 
     def __init__(
         self,
@@ -50,6 +51,8 @@
         self.max_bytes = max_bytes
         self._account = account
         self.used_bytes = 0
+        # Called with a number of bytes that can't be reserved; may release others.
+        self.on_shortage: Callable[[int], None] | None = None
 
     def has_room(self, size_bytes: int) -> bool:
         """Return whether a number of bytes can be reserved."""
@@ -57,9 +60,21 @@
             return False
         return self._account is None or self._account.has_room(size_bytes)
 
+    def make_room(self, size_bytes: int) -> bool:
+        """Return whether a number of bytes can be reserved; have stalled ones released.
+
+        Nothing is released for more bytes than the budget has.
+        """
+        if self.has_room(size_bytes):
+            return True
+        if self.on_shortage is None or size_bytes > self.max_bytes:
+            return False
+        self.on_shortage(size_bytes)
+        return self.has_room(size_bytes)
+
     def reserve(self, size_bytes: int) -> bool:
         """Reserve a number of bytes; return False if too few are left."""
-        if not self.has_room(size_bytes):
+        if not self.make_room(size_bytes):
             return False
         self.used_bytes += size_bytes
         return True
--- a/gypsumlock/mesh/node.py
+++ b/gypsumlock/mesh/node.py
@@ -25,6 +25,7 @@
 from gypsumlock.mesh.feed_relay import FeedRelay
 from gypsumlock.mesh.fleet_feed import FleetFeed
 from gypsumlock.mesh.http_server import CallServer, HttpHandler
+from gypsumlock.mesh.memory_account import MemoryAccount
 from gypsumlock.mesh.owner import UpstreamOwner
 from gypsumlock.mesh.peer_server import PeerServer
 from gypsumlock.mesh.placement import UpstreamSelector
@@ -41,6 +42,9 @@
 # Time without a call in flight after which a stopping process exits.
 IDLE_BEFORE_EXIT_S = 0.2
 STOP_POLL_INTERVAL_S = 0.05
+# Memory of a server for readiness probes or heartbeats, of which a share is for the
+# bodies that it receives, in megabytes.
+CONTROL_MEMORY_MB = 16.0
 
 
 class MeshNode:
@@ -80,9 +84,15 @@
         self.dispatcher = CallDispatcher(
             state, self.directory, selector, self.metrics, rng
         )
-        self.call_server = CallServer(self.dispatcher, state.memory)
+        shares = state.descriptors
+        self.call_server = CallServer(self.dispatcher, state.memory, shares.clients)
         self.peer_server = PeerServer(
-            self.owner, self.relay, state.link_meter, state.pacer, state.memory
+            self.owner,
+            self.relay,
+            state.link_meter,
+            state.pacer,
+            state.memory,
+            shares.peers,
         )
         # Servers for readiness checks and heartbeats.
         self.control_servers: list[CallServer] = []
@@ -92,7 +102,11 @@
         addresses = self.state.addresses
         await self.call_server.start(addresses.calls)
         await self.peer_server.start(addresses.peers)
-        self.control_servers = [CallServer(readiness), CallServer(heartbeats)]
+        max_connections = self.state.descriptors.control
+        self.control_servers = [
+            CallServer(handler, MemoryAccount(CONTROL_MEMORY_MB), max_connections)
+            for handler in (readiness, heartbeats)
+        ]
         await self.control_servers[0].start(addresses.readiness)
         await self.control_servers[1].start(addresses.heartbeats)
 
--- a/gypsumlock/mesh/peer_server.py
+++ b/gypsumlock/mesh/peer_server.py
@@ -6,6 +6,7 @@
 
 from gypsumlock.logs import Component, get_logger
 from gypsumlock.mesh.call_handler import CallHandler
+from gypsumlock.mesh.connection_table import ConnectionTable, choose_backlog
 from gypsumlock.mesh.feed_messages import (
     ConfigSnapshot,
     FeedHeartbeat,
@@ -42,29 +43,34 @@
 class InboundConnection(FramedProtocol, FollowerConnection):
     """Server side of a connection from another node."""
 
-    __slots__ = ("_requests", "_server", "_tasks")
+    __slots__ = ("_is_confirmed", "_requests", "_server", "_tasks")
 
     def __init__(self, server: PeerServer) -> None:
         super().__init__(server.meter, server.memory)
         self._server = server
+        # True once a message has arrived.
+        self._is_confirmed = False
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._requests: dict[int, CallRequest] = {}
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
         super().connection_made(transport)
-        self._server.connections.add(self)
+        self._server.add_connection(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the calls of the disconnected node, and send it no more updates."""
         super().connection_lost(exc)
-        self._server.connections.discard(self)
+        self._server.remove_connection(self)
         self._server.relay.remove_follower(self)
         for task in self._tasks.values():
             task.cancel()
 
     def handle_message(self, message: Message) -> None:
         """Start, cancel or refuse a call, register a follower, or respond to a ping."""
+        if not self._is_confirmed:
+            self._is_confirmed = True
+            self._server.confirm_connection(self)
         if isinstance(message, CallRequest):
             self._start_call(message)
         elif isinstance(message, Cancel):
@@ -173,11 +179,13 @@
         Schedules the chunks of large responses on that link.
     memory : MemoryAccount
         Counts the bodies of the calls and of their answers.
+    max_connections : int
+        Most connections that are kept; 0 for no limit.
     """
 
     __slots__ = (
         "_server",
-        "connections",
+        "_table",
         "handler",
         "memory",
         "meter",
@@ -192,15 +200,40 @@
         meter: LinkMeter,
         pacer: Pacer,
         memory: MemoryAccount,
+        max_connections: int = 0,
     ) -> None:
         self.memory = memory
         self.pacer = pacer
         self.handler = handler
         self.meter = meter
         self.relay = relay
-        self.connections: set[InboundConnection] = set()
+        self._table: ConnectionTable[InboundConnection] = ConnectionTable(
+            max_connections
+        )
         self._server: asyncio.Server | None = None
 
+    @property
+    def connections(self) -> set[InboundConnection]:
+        """All open connections."""
+        return self._table.connections
+
+    def add_connection(self, connection: InboundConnection) -> None:
+        """Add a new connection, and close one if there are too many.
+
+        One that has sent a message belongs to another node and is kept.
+        """
+        excess = self._table.add(connection)
+        if excess is not None:
+            excess.abort()
+
+    def remove_connection(self, connection: InboundConnection) -> None:
+        """Remove a connection that is closed."""
+        self._table.remove(connection)
+
+    def confirm_connection(self, connection: InboundConnection) -> None:
+        """Keep a connection on which a message has arrived."""
+        self._table.mark_busy(connection)
+
     async def start(self, address: str) -> None:
         """Listen on an address; raises OSError if it is in use."""
         host, _, port = address.rpartition(":")
@@ -209,7 +242,7 @@
             lambda: InboundConnection(self),
             host,
             int(port),
-            backlog=1024,
+            backlog=choose_backlog(self._table.max_connections),
             reuse_address=True,
         )
 
--- a/gypsumlock/mesh/state.py
+++ b/gypsumlock/mesh/state.py
@@ -8,6 +8,7 @@
 import asyncio
 from dataclasses import dataclass
 
+from gypsumlock.mesh.descriptor_shares import DescriptorShares
 from gypsumlock.mesh.link_meter import LinkMeter, usable_mbps
 from gypsumlock.mesh.memory_account import MemoryAccount
 from gypsumlock.mesh.model import HeaderNames, NodeAddresses, UpstreamRecord
@@ -163,12 +164,15 @@
         True if the whole fleet starts for the first time.
     memory_mb : float
         Memory that the process may use, in megabytes; 0 if it is not known.
+    max_fds : int
+        Most descriptors that the process may open; 0 if it is not known.
     """
 
     __slots__ = (
         "addresses",
         "bounds",
         "configured",
+        "descriptors",
         "directory_loaded",
         "dispatch_stopped",
         "fleet_start",
@@ -200,6 +204,7 @@
         link_mbps: float = 0.0,
         fleet_start: bool = False,
         memory_mb: float = 0.0,
+        max_fds: int = 0,
     ) -> None:
         self.node = node
         self.zone = zone
@@ -212,6 +217,7 @@
         self.link_meter = LinkMeter(usable_mbps(link_mbps))
         self.pacer = Pacer(self.link_meter)
         self.memory = MemoryAccount(memory_mb)
+        self.descriptors = DescriptorShares(max_fds)
         self.registry = UpstreamRegistry(addresses.upstream)
         # Set whenever the node's own record has to be published again.
         self.publish_needed = asyncio.Event()
--- a/gypsumlock/platform/daemon.py
+++ b/gypsumlock/platform/daemon.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import os
+import resource
 import signal
 import sys
 from pathlib import Path
@@ -66,6 +67,7 @@
         link_mbps=settings.link_mbps,
         fleet_start=settings.fleet_start,
         memory_mb=settings.memory_mb,
+        max_fds=settings.max_fds or resource.getrlimit(resource.RLIMIT_NOFILE)[0],
     )
     node = MeshNode(state)
     store = PlatformStore(settings.store_address)
--- a/gypsumlock/platform/endpoints.py
+++ b/gypsumlock/platform/endpoints.py
@@ -24,6 +24,7 @@
 )
 from gypsumlock.mesh.http_messages import HttpRequest
 from gypsumlock.mesh.http_server import HttpHandler, ServerConnection
+from gypsumlock.mesh.model import ClientLimits
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.mesh.upstream_registry import Departure, Heartbeat
 from gypsumlock.metrics import Metrics
@@ -49,6 +50,8 @@
 # Longest wait for the store to hold a departure before it is acknowledged, in seconds.
 # Upstreams wait a second for the acknowledgement, and send it again without one.
 DEPARTURE_ACK_TIMEOUT_S = 0.8
+# Limits on requests to these endpoints, whose bodies are small.
+ENDPOINT_LIMITS = ClientLimits(16_384, 65_536, 5.0, 60.0)
 STATE_READY = "ready"
 STATE_DRAINING = "draining"
 STATUS_OK = 200
@@ -100,6 +103,10 @@
         self._state = state
         self._metrics = metrics
 
+    def limits(self) -> ClientLimits:
+        """Return the limits of the endpoints, which no configuration sets."""
+        return ENDPOINT_LIMITS
+
     async def handle(self, request: HttpRequest, connection: ServerConnection) -> None:
         """Respond to a readiness probe or a metrics request."""
         if request.target.startswith(READY_PATH):
@@ -129,6 +136,10 @@
         self._state = state
         self._on_change = on_change
 
+    def limits(self) -> ClientLimits:
+        """Return the limits of the endpoints, which no configuration sets."""
+        return ENDPOINT_LIMITS
+
     async def handle(self, request: HttpRequest, connection: ServerConnection) -> None:
         """Process a heartbeat or a deregistration and send the response."""
         target = request.target.partition(b"?")[0]
--- a/gypsumlock/platform/settings.py
+++ b/gypsumlock/platform/settings.py
@@ -14,6 +14,7 @@
 from gypsumlock.mesh.field_types import (
     Address,
     Bandwidth,
+    Count,
     Duration,
     MemorySize,
     Ratio,
@@ -47,6 +48,8 @@
     link_mbps: Bandwidth = 0.0
     # Memory that the process may use, in megabytes; 0 if unknown.
     memory_mb: MemorySize = 0.0
+    # Descriptors that the process may open; 0 if unknown.
+    max_fds: Count = 0
 
 
 class _SelfNode(msgspec.Struct, frozen=True):
@@ -127,6 +130,8 @@
     bounds: MeshBounds
     link_mbps: float
     memory_mb: float
+    # Descriptors that the process may open; 0 if unknown.
+    max_fds: int
     # True if the whole fleet starts for the first time.
     fleet_start: bool
 
@@ -191,6 +196,7 @@
             ),
             link_mbps=settings_file.self_node.limits.link_mbps,
             memory_mb=settings_file.self_node.limits.memory_mb,
+            max_fds=settings_file.self_node.limits.max_fds,
             fleet_start=settings_file.self_node.bootstrap,
         )
     )
--- a/misc/report_mutations.py
+++ b/misc/report_mutations.py
@@ -136,7 +136,7 @@
     ),
     Mutation(
         "reports: a stopping node leaves new connections time for a request",
-        "gypsumlock/mesh/http_server.py",
+        "gypsumlock/mesh/server_connection.py",
         "MIN_IDLE_S = 0.2",
         "MIN_IDLE_S = 0.0",
         f"{_STOP}.test_new_connection_has_time_for_its_request",
@@ -188,14 +188,14 @@
     ),
     Mutation(
         "reports: a stopping node sends what a slow client has not read yet",
-        "gypsumlock/mesh/http_server.py",
+        "gypsumlock/mesh/server_connection.py",
         "or has_unsent_bytes(self._transport)",
         "or False",
         f"{_LEAVING}.test_stop_waits_for_a_client_that_reads_slowly",
     ),
     Mutation(
         "reports: a stopping node answers pipelined requests",
-        "gypsumlock/mesh/http_server.py",
+        "gypsumlock/mesh/server_connection.py",
         "is_last = self._server.closing and not self._pipelined",
         "is_last = self._server.closing",
         f"{_LEAVING}.test_pipelined_requests_are_answered_after_a_stop",
@@ -269,16 +269,16 @@
     ),
     Mutation(
         "reports: a body that a node can't hold is refused at its head",
-        "gypsumlock/mesh/http_server.py",
+        "gypsumlock/mesh/request_reader.py",
         "if length.isdigit() and not self._has_room(int(length)):",
         "if False:",
         f"{_HELD}.TestLargeRequests.test_body_beyond_the_memory_is_refused_at_its_head",
     ),
     Mutation(
         "reports: bodies of clients are limited together",
-        "gypsumlock/mesh/http_server.py",
-        "elif self._server.memory.requests.reserve(len(body)):",
-        "elif self._server.memory.requests.hold(len(body)) is None:",
+        "gypsumlock/mesh/request_reader.py",
+        "elif not self._budget.reserve(len(body)):",
+        "elif self._budget.hold(len(body)) is not None:",
         f"{_HELD}.TestLargeRequests."
         "test_body_of_unknown_length_is_refused_once_it_is_too_large",
     ),
@@ -291,7 +291,7 @@
     ),
     Mutation(
         "reports: answers that a client does not read are counted",
-        "gypsumlock/mesh/http_server.py",
+        "gypsumlock/mesh/server_connection.py",
         "self._unsent.pause(self._transport)",
         "pass",
         f"{_HELD}.TestWaitingAnswers."
