--- a/gypsumlock/mesh/state.py
+++ b/gypsumlock/mesh/state.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from gypsumlock.mesh.boot_clock import boot_time_s
+from gypsumlock.mesh.descriptor_shares import DescriptorShares
 from gypsumlock.mesh.link_meter import LinkMeter, usable_mbps
 from gypsumlock.mesh.memory_account import MemoryAccount
 from gypsumlock.mesh.model import (
@@ -173,6 +174,8 @@
         True if the whole fleet starts for the first time.
     memory_mb : float
         Memory that the process may use, in megabytes; 0 if it is not known.
+    max_fds : int
+        Most descriptors that the process may open; 0 if it is not known.
     """
 
     __slots__ = (
@@ -180,6 +183,7 @@
         "bounds",
         "config_contact",
         "configured",
+        "descriptors",
         "directory_loaded",
         "dispatch_stopped",
         "fleet_start",
@@ -215,6 +219,7 @@
         link_mbps: float = 0.0,
         fleet_start: bool = False,
         memory_mb: float = 0.0,
+        max_fds: int = 0,
     ) -> None:
         self.node = node
         self.zone = zone
@@ -227,6 +232,7 @@
         self.link_meter = LinkMeter(usable_mbps(link_mbps))
         self.pacer = Pacer(self.link_meter)
         self.memory = MemoryAccount(memory_mb)
+        self.descriptors = DescriptorShares(max_fds)
         self.registry = UpstreamRegistry(addresses.upstream)
         self.versions = VersionTable()
         self.version_gate = VersionGate(self.versions, self.registry)
