--- a/tests/test_quota_calls.py
+++ b/tests/test_quota_calls.py
@@ -8,36 +8,24 @@
 from dataclasses import replace
 
 from gypsumlock.leases import LEASE_TABLE
-from gypsumlock.mesh.call_classifier import Call, CallClassifier
-from gypsumlock.mesh.http_messages import HttpRequest
 from gypsumlock.mesh.model import MeshConfig, Organisation, ServiceShare
 from gypsumlock.mesh.state import QuotaBounds
+from gypsumlock.organisations import digest_key
 from gypsumlock.quota import part_slots, slot_lease
-from gypsumlock.result_codes import ResultCode
 from tests.standins.mesh_fleet import MeshFleet, MeshHost, make_config
 
 BOUNDS = QuotaBounds(window_s=5.0, excess=0.1, allowance=20.0)
+FREE = Organisation("free", (digest_key(b"free"),))
 ORGANISATIONS = (
-    Organisation("large", rate_per_s=200.0, burst=40.0),
-    Organisation("small", rate_per_s=2.0, burst=0.0),
-    Organisation("free"),
+    Organisation("large", (digest_key(b"large"),), rate_per_s=200.0, burst=40.0),
+    Organisation("small", (digest_key(b"small"),), rate_per_s=2.0, burst=0.0),
+    FREE,
 )
-NAME_HEADER = "organisation-name"
 
 
-class _NamedClassifier(CallClassifier):
-    """Takes the organisation from a header of the test in place of a key."""
-
-    __slots__ = ()
-
-    def classify(self, request: HttpRequest) -> Call | ResultCode:
-        call = super().classify(request)
-        table = self._state.route_table
-        name = (request.header(NAME_HEADER.encode()) or b"").decode()
-        if isinstance(call, Call) and table is not None:
-            found = [x for x in table.config.organisations if x.name == name]
-            call.organisation = found[0] if found else None
-        return call
+def key_headers(name: str) -> dict[str, str]:
+    """Return the credentials of an organisation, whose name is also its key."""
+    return {"Authorization": f"Bearer {name}"}
 
 
 def quota_config(version: int = 1) -> MeshConfig:
@@ -51,15 +39,10 @@
         self.fleet = await self.enterAsyncContext(MeshFleet(quota=BOUNDS))
         self.fleet.configure(quota_config())
         for number in range(4):
-            host = await self.fleet.add(f"n-{number}", zone="ab"[number % 2], slots=50)
-            self.use_names(host)
+            await self.fleet.add(f"n-{number}", zone="ab"[number % 2], slots=50)
         await self.fleet.wait_until_ready()
         await self.wait_for_holders()
 
-    def use_names(self, host: MeshHost) -> None:
-        dispatcher = host.node.dispatcher
-        dispatcher._classifier = _NamedClassifier(host.node.state)
-
     def holder(self, slot: int) -> MeshHost | None:
         for host in self.fleet.hosts:
             leases = host.node.quota_granter.leases
@@ -81,7 +64,7 @@
         tasks = []
         for number in range(count):
             host = hosts[number % len(hosts)]
-            call = self.fleet.call(host, headers={NAME_HEADER: name})
+            call = self.fleet.call(host, headers=key_headers(name))
             tasks.append(asyncio.create_task(call))
             await asyncio.sleep(interval_s)
         responses = await asyncio.gather(*tasks)
@@ -153,7 +136,6 @@
         self.assertGreater(statuses[200], 190)
         for host in self.fleet.hosts:
             await self.fleet.restart(host)
-            self.use_names(host)
         await self.fleet.wait_until_ready()
         await self.wait_for_holders()
         await asyncio.sleep(0.5)
@@ -172,15 +154,16 @@
             host = await fleet.add("n-1")
             await fleet.wait_until_ready()
             await asyncio.sleep(0.6)
-            self.assertEqual((await fleet.call(host)).status, 200)
+            self.assertEqual(
+                (await fleet.call(host, headers=key_headers("free"))).status, 200
+            )
             self.assertNotIn(LEASE_TABLE, host.store.called_tables)
 
     async def test_no_bounds(self) -> None:
         await self.check_no_lease(None, quota_config())
 
     async def test_no_rate(self) -> None:
-        organisations = (Organisation("free"),)
-        config = replace(make_config(), organisations=organisations)
+        config = replace(make_config(), organisations=(FREE,))
         await self.check_no_lease(BOUNDS, config)
 
 
