--- a/misc/mutations.py
+++ b/misc/mutations.py
@@ -8,6 +8,7 @@
 
 from misc.mesh_mutations import MESH_MUTATIONS
 from misc.mutation import Mutation
+from misc.quota_mutations import QUOTA_MUTATIONS
 from misc.report_mutations import REPORT_MUTATIONS
 
 __all__ = ["MUTATIONS", "Mutation"]
@@ -208,5 +209,6 @@
         "tests.test_routing.TestRetryBudget.test_retries_are_bounded_over_many_calls",
     ),
     *MESH_MUTATIONS,
+    *QUOTA_MUTATIONS,
     *REPORT_MUTATIONS,
 )
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -76,30 +76,22 @@
         return {node: token for node, token in held.items() if token is not None}
 
 
-_EVENTS = st.one_of(
-    st.tuples(
-        st.just("step"),
-        st.sampled_from(NODES),
-        st.sampled_from(("done", "done", "done", "lost", "failed", "late")),
-        st.sampled_from((0.0, 0.01, 1.2)),
+# Kind, node, fate of the call to the store, and how long it takes.
+_EVENTS = st.tuples(
+    st.sampled_from(
+        ("step",) * 12 + ("wait",) * 3 + ("arrive", "leave", "restart"),
     ),
-    st.tuples(st.just("leave"), st.sampled_from(NODES), st.just("done"), st.just(0.0)),
-    st.tuples(st.just("restart"), st.sampled_from(NODES), st.just(""), st.just(0.0)),
-    st.tuples(
-        st.just("wait"),
-        st.just(""),
-        st.just(""),
-        st.sampled_from((0.3, 4.0, 10.0, 14.6, 16.0)),
-    ),
-    st.tuples(st.just("arrive"), st.just(""), st.just(""), st.just(0.0)),
+    st.sampled_from(NODES),
+    st.sampled_from(("done", "done", "done", "lost", "failed", "late")),
+    st.sampled_from((0.0, 0.01, 0.3, 1.2, 4.0, 14.6, 16.0)),
 )
 
 
 class TestExclusion(unittest.TestCase):
     """Guards against two holders at a time, and a token that does not grow."""
 
-    @settings(max_examples=400, deadline=None)
-    @given(st.lists(_EVENTS, max_size=60))
+    @settings(max_examples=300, deadline=None)
+    @given(st.lists(_EVENTS, min_size=40, max_size=80))
     def test_one_holder_and_growing_tokens(
         self, events: list[tuple[str, str, str, float]]
     ) -> None:
@@ -107,19 +99,19 @@
         last_holder, last_token = "", 0
         for kind, node, fate, delay_s in events:
             if kind == "step":
-                model.step(node, True, fate, delay_s)
+                model.step(node, True, fate, min(delay_s, 1.2))
             elif kind == "leave":
-                model.step(node, False, fate, delay_s)
+                model.step(node, False, fate, 0.0)
             elif kind == "restart":
                 # The writes of the earlier process have been sent, or never will be.
                 model.late = [
                     x for x in model.late if x.lease and x.lease.holder != node
                 ]
                 model.states[node] = LeaseState(node)
-            elif kind == "arrive" and model.late:
-                model.write(model.late.pop(0))
-            else:
+            elif kind == "wait":
                 model.now_s += delay_s
+            elif model.late:
+                model.write(model.late.pop(0))
             holders = model.holders()
             self.assertLessEqual(len(holders), 1, holders)
             for holder, token in holders.items():
--- a/tests/test_quota_bound.py
+++ b/tests/test_quota_bound.py
@@ -49,7 +49,8 @@
                 st.booleans(),
                 st.integers(1, 12),
             ),
-            max_size=40,
+            min_size=20,
+            max_size=60,
         )
     )
     def test_used_tokens_are_those_of_a_plain_bucket(
@@ -128,7 +129,7 @@
     @settings(
         max_examples=25, deadline=None, suppress_health_check=[HealthCheck.too_slow]
     )
-    @given(st.lists(_EVENT, max_size=10), st.integers(0, 1000))
+    @given(st.lists(_EVENT, min_size=3, max_size=10), st.integers(0, 1000))
     def test_random_failures(
         self, events: list[tuple[str, int, float]], seed: int
     ) -> None:
