--- a/gypsumlock/quota/granter.py
+++ b/gypsumlock/quota/granter.py
@@ -37,6 +37,9 @@
 
 # Longest time until there will be more that is reported, in seconds.
 MAX_MORE_AFTER_S = 3600.0
+# Interval at which a node releases slots of which it is no candidate any more, in
+# seconds. The next holder has begun by then, so that few parts are away at a time.
+RELEASE_INTERVAL_S = 5.0
 # The same for a part that has moved to another slot by a newer version.
 MOVED_RETRY_S = 0.25
 
@@ -65,6 +68,7 @@
         "_limits",
         "_metrics",
         "_order",
+        "_release_at_s",
         "_state",
         "_table",
         "leases",
@@ -85,6 +89,8 @@
         self.leases: LeaseKeeper | None = None
         self._order = SlotOrder()
         self._ledgers: dict[int, GrantLedger] = {}
+        # Time from which the next slot may be released.
+        self._release_at_s = float("-inf")
         # When other nodes last asked for tokens of each slot.
         self._asked_at_s: dict[int, float] = {}
         # Limits by slot and organisation, and the table and bounds they are from.
@@ -114,8 +120,13 @@
             is_holder = self._open_ledger(slot, now_s) is not None
             rank = order.rank(slot, self._state.node)
             asked_at_s = self._asked_at_s.get(slot, float("-inf"))
-            if is_candidate(rank, is_holder, asked_at_s, now_s):
-                wanted.append(slot_lease(slot))
+            if not is_candidate(rank, is_holder, asked_at_s, now_s):
+                if not is_holder:
+                    continue
+                if now_s >= self._release_at_s:
+                    self._release_at_s = now_s + RELEASE_INTERVAL_S
+                    continue
+            wanted.append(slot_lease(slot))
         return wanted
 
     def grant(self, request: GrantRequest) -> Grant:
