--- a/misc/mutations.py
+++ b/misc/mutations.py
@@ -9,6 +9,7 @@
 from misc.mesh_mutations import MESH_MUTATIONS
 from misc.mutation import Mutation
 from misc.organisation_mutations import ORGANISATION_MUTATIONS
+from misc.quota_mutations import QUOTA_MUTATIONS
 from misc.report_mutations import REPORT_MUTATIONS
 
 __all__ = ["MUTATIONS", "Mutation"]
@@ -209,6 +210,7 @@
         "tests.test_routing.TestRetryBudget.test_retries_are_bounded_over_many_calls",
     ),
     *MESH_MUTATIONS,
+    *QUOTA_MUTATIONS,
     *REPORT_MUTATIONS,
     *ORGANISATION_MUTATIONS,
 )
--- a/tests/test_quota_failures.py
+++ b/tests/test_quota_failures.py
@@ -218,6 +218,24 @@
 
         self.simulate(case)
 
+    def test_first_node_hands_its_slots_over(self) -> None:
+        async def case(fleet: QuotaFleet, traffic: _Traffic) -> None:
+            records = fleet.records
+            for name in list(fleet.nodes):
+                fleet.start(name).directory.update({})
+            fleet.store.tables.clear()
+            first = dict(list(records.items())[:1])
+            for node in fleet.nodes.values():
+                node.directory.update(first)
+            await asyncio.sleep(3.0)
+            for node in fleet.nodes.values():
+                node.directory.update(records)
+            self.assert_refused(await traffic.run(USUAL, 60.0), 0.001)
+            held = Counter(x for names in fleet.holders().values() for x in names)
+            self.assertLessEqual(max(held.values()), 4)
+
+        self.simulate(case, size=24)
+
     def test_small_limit_without_a_burst(self) -> None:
         async def case(fleet: QuotaFleet, traffic: _Traffic) -> None:
             self.assert_refused(await traffic.run(USUAL, 300.0), 0.01)
