Use the allowance for the second part of a trial, and keep revisions under one token

A lease that is renewed late keeps its token; the revisions began at 1 again, so that nodes ignored the new entries.

--- a/gypsumlock/rollout/conductor.py
+++ b/gypsumlock/rollout/conductor.py
@@ -13,7 +13,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 from msgspec.structs import replace
@@ -23,8 +23,14 @@
 from gypsumlock.rollout.evidence import Evidence
 from gypsumlock.rollout.judgement import Judgement, judge
 from gypsumlock.rollout.messages import VersionReport
+from gypsumlock.rollout.retirement import (
+    blocking_upstreams,
+    is_draining,
+    is_silent,
+)
 from gypsumlock.rollout.rows import OrderRow, StatusRow
 from gypsumlock.rollout.trial import (
+    TrialBounds,
     TrialDecision,
     decide_trial,
     larger_share,
@@ -45,9 +51,6 @@
 # Time for which a majority has to last before it is recorded as established, and for
 # which an established version has to be gone before it is replaced, in seconds.
 SETTLE_S = 3.0
-# Time after the last report of an owner in which its own record is not consulted, in
-# seconds.
-REPORT_LIFETIME_S = 3.0
 ACTIVE_PHASES = frozenset({RolloutPhase.RUNNING, RolloutPhase.FINISHING})
 
 
@@ -70,16 +73,18 @@
         Fencing token of the lease.
     table : VersionTable
         Versions of all services, with the entries of earlier conductors.
-    exposure_share : float
-        Share of a service's calls that a bad version may get.
+    bounds : TrialBounds
+        Bounds on the calls that a bad version may get.
+    own : Iterable[RolloutEntry]
+        Entries that this node has published before.
     now_s : float
         Monotonic time.
     """
 
     __slots__ = (
         "_began_s",
+        "_bounds",
         "_evidence",
-        "_exposure_share",
         "_table",
         "_unsettled",
         "entries",
@@ -87,20 +92,26 @@
     )
 
     def __init__(
-        self, token: int, table: VersionTable, exposure_share: float, now_s: float
+        self,
+        token: int,
+        table: VersionTable,
+        bounds: TrialBounds,
+        own: Iterable[RolloutEntry],
+        now_s: float,
     ) -> None:
         self.token = token
         self._table = table
-        self._exposure_share = exposure_share
+        self._bounds = bounds
         self._began_s = now_s
         self._evidence: dict[str, Evidence] = {}
         # Version that could become the established one of a service, and since when.
         self._unsettled: dict[str, tuple[str, float]] = {}
-        self.entries: dict[str, RolloutEntry] = {
-            service: replace(versions.entry, token=token, revision=1)
-            for service, versions in table.services.items()
-            if versions.entry is not None
-        }
+        self.entries: dict[str, RolloutEntry] = {}
+        known = [x.entry for x in table.services.values() if x.entry is not None]
+        for entry in sorted([*known, *own], key=lambda x: (x.token, x.revision)):
+            # A lease may be renewed late, under the same token.
+            revision = entry.revision + 1 if entry.token == token else 1
+            self.entries[entry.service] = replace(entry, token=token, revision=revision)
 
     def step(
         self,
@@ -154,41 +165,21 @@
             report.version == entry.candidate and report.instance not in entry.suspects
         )
 
-    def blocking(self, service: str, now_s: float) -> list[UpstreamRecord]:
-        """Return the upstreams that may still execute calls of a replaced version."""
-        entry = self.entries[service]
-        versions = self._table.services.get(service) or ServiceVersions()
-        evidence = self._evidence_of(service)
-        blocking = []
-        for record in versions.present:
-            if record.version == entry.candidate:
-                continue
-            reported = evidence.upstreams.get(record.instance)
-            if reported is None or reported.last_seen_s < now_s - REPORT_LIFETIME_S:
-                retired = record.retired
-            else:
-                retired = reported.retired
-            if not retired:
-                blocking.append(record)
-        return blocking
-
-    def is_silent(self, service: str, instance: str, now_s: float) -> bool:
-        """Return whether the owner of an upstream has not reported for a while."""
-        upstream = self._evidence_of(service).upstreams.get(instance)
-        return upstream is None or upstream.last_seen_s < now_s - REPORT_LIFETIME_S
-
-    def _is_draining(self, entry: RolloutEntry, now_s: float) -> bool:
-        """Return whether the owner of a replaced upstream reports calls in flight.
-
-        An upstream that has announced its departure still finishes its calls.
-        """
-        upstreams = self._evidence_of(entry.service).upstreams.values()
-        return any(
-            upstream.version != entry.candidate
-            and not upstream.retired
-            and upstream.last_seen_s >= now_s - REPORT_LIFETIME_S
-            for upstream in upstreams
-        )
+    def silent_owners(self, now_s: float) -> list[UpstreamRecord]:
+        """Return the replaced upstreams whose owners hold up an end and are silent."""
+        silent = []
+        for service, entry in self.entries.items():
+            versions = self._table.services.get(service)
+            if entry.phase is RolloutPhase.FINISHING and versions is not None:
+                evidence = self._evidence_of(service)
+                silent += [
+                    record
+                    for record in blocking_upstreams(
+                        versions.present, entry.candidate, evidence, now_s
+                    )
+                    if is_silent(evidence, record.instance, now_s)
+                ]
+        return silent
 
     # --- decisions ---
 
@@ -223,7 +214,7 @@
                 revision=0,
                 established=established,
                 candidate=order.candidate,
-                share=small_share(self._exposure_share) if is_trial else 1.0,
+                share=small_share(self._bounds) if is_trial else 1.0,
                 phase=RolloutPhase.RUNNING if is_trial else RolloutPhase.FINISHING,
                 order_version=order.row_version,
                 began_ms=moment.wall_ms,
@@ -247,7 +238,7 @@
             entry.candidate, float("inf")
         )
         decision = decide_trial(
-            entry, judgement, elapsed_s, moment.now_s - first_s, self._exposure_share
+            entry, judgement, elapsed_s, moment.now_s - first_s, self._bounds
         )
         if decision is TrialDecision.CONTINUE:
             return
@@ -257,8 +248,12 @@
             # The owners have not reported everything to this conductor yet.
             return
         elif decision is TrialDecision.ENLARGE:
-            entry = replace(entry, share=larger_share(self._exposure_share))
-            self._put(entry, decision.value, judgement)
+            share = larger_share(
+                self._bounds,
+                (judgement.answers + judgement.base_answers) / elapsed_s,
+                entry.duration_s,
+            )
+            self._put(replace(entry, share=share), decision.value, judgement)
         elif decision in (TrialDecision.FINISH, TrialDecision.FINISH_UNTESTED):
             entry = replace(entry, share=1.0, phase=RolloutPhase.FINISHING)
             self._put(entry, decision.value, judgement)
@@ -277,10 +272,13 @@
             reason = TrialDecision.ROLL_BACK_BAD.value
             self._end(entry, RolloutPhase.ROLLED_BACK, reason, judgement)
             return
-        blocking = self.blocking(entry.service, moment.now_s)
+        evidence = self._evidence_of(entry.service)
+        blocking = blocking_upstreams(
+            versions.present, entry.candidate, evidence, moment.now_s
+        )
         if any(record.node not in gone for record in blocking):
             return
-        if self._is_draining(entry, moment.now_s):
+        if is_draining(evidence, entry.candidate, moment.now_s):
             return
         if entry.candidate in versions.serving:
             self._end(entry, RolloutPhase.COMPLETED, "old upstreams retired")
--- a/gypsumlock/rollout/controller.py
+++ b/gypsumlock/rollout/controller.py
@@ -10,7 +10,6 @@
 from gypsumlock.logs import Component, get_logger
 from gypsumlock.mesh.feed_store import FeedStore
 from gypsumlock.mesh.fleet_feed import FleetFeed
-from gypsumlock.mesh.model import RolloutPhase
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.rollout.conductor import Conductor, Moment
 from gypsumlock.rollout.lease import ConductorLease
@@ -99,7 +98,8 @@
             if token is None or bounds is None or not self._state.directory_loaded:
                 return
             versions = self._state.versions
-            conductor = Conductor(token, versions, bounds.exposure_share, now_s)
+            own = self._state.rollouts
+            conductor = Conductor(token, versions, bounds, own, now_s)
             self._conductor = conductor
         orders = self._orders
         moment = Moment(now_s, time.time_ns() // 1_000_000)
@@ -144,12 +144,5 @@
             conductor = self._conductor
             if conductor is None:
                 continue
-            now_s = time.monotonic()
-            silent = [
-                record
-                for service, entry in conductor.entries.items()
-                if entry.phase is RolloutPhase.FINISHING
-                for record in conductor.blocking(service, now_s)
-                if conductor.is_silent(service, record.instance, now_s)
-            ]
+            silent = conductor.silent_owners(time.monotonic())
             await self._probe.check(silent)
--- a/gypsumlock/rollout/order_watch.py
+++ b/gypsumlock/rollout/order_watch.py
@@ -24,7 +24,7 @@
 log = get_logger(Component.ROLLOUT)
 
 # Timeout of one wait for changes, in seconds.
-ORDER_WAIT_S = 4.0
+ORDER_WAIT_S = 2.0
 LEASE_POLL_INTERVAL_S = 0.1
 # Backoff after a failed call to the store, in seconds: initial and maximum.
 RETRY_BASE_S = 0.2
--- a/gypsumlock/rollout/trial.py
+++ b/gypsumlock/rollout/trial.py
@@ -12,16 +12,27 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import Protocol
 
 from gypsumlock.mesh.model import RolloutEntry
 from gypsumlock.rollout.judgement import Judgement
 
-__all__ = ["TrialDecision", "decide_trial", "larger_share", "small_share"]
+__all__ = [
+    "TrialBounds",
+    "TrialDecision",
+    "decide_trial",
+    "larger_share",
+    "small_share",
+]
 
 # Shares of the calls in the two parts, as a multiple of the share that a bad version
 # may get of all calls from the order to its deadline.
 SMALL_SHARE_OF_BOUND = 0.8
 LARGER_SHARE_OF_BOUND = 2.2
+# Part of the calls allowed beyond that share which the second part may use, for a
+# service with few calls; and the largest share in any case.
+ALLOWANCE_SHARE = 0.6
+MAX_SHARE = 0.5
 # Shares of the time that an order allows after which the second part may begin, the
 # trial may end, and it has to end.
 ENLARGE_AFTER_SHARE = 0.4
@@ -56,14 +67,39 @@
     ROLL_BACK_UNANSWERED = "no answers"
 
 
-def small_share(exposure_share: float) -> float:
+class TrialBounds(Protocol):
+    """Bounds on the calls that a bad version may get."""
+
+    @property
+    def exposure_share(self) -> float:
+        """Share of the service's calls from the order to its deadline."""
+
+    @property
+    def exposure_allowance(self) -> float:
+        """Calls beyond that share."""
+
+
+def small_share(bounds: TrialBounds) -> float:
     """Return the share of the calls in the first part of a trial."""
-    return min(1.0, SMALL_SHARE_OF_BOUND * exposure_share)
+    return min(MAX_SHARE, SMALL_SHARE_OF_BOUND * bounds.exposure_share)
 
 
-def larger_share(exposure_share: float) -> float:
-    """Return the share of the calls in the second part of a trial."""
-    return min(1.0, LARGER_SHARE_OF_BOUND * exposure_share)
+def larger_share(bounds: TrialBounds, calls_per_s: float, duration_s: float) -> float:
+    """Return the share of the calls in the second part of a trial.
+
+    Parameters
+    ----------
+    bounds : TrialBounds
+        Bounds on the calls that a bad version may get.
+    calls_per_s : float
+        Calls of the service per second.
+    duration_s : float
+        Time that the order allows, in seconds.
+    """
+    second_part_s = (DECIDE_LATEST_SHARE - ENLARGE_AFTER_SHARE) * duration_s
+    calls = max(1.0, calls_per_s * second_part_s)
+    extra = ALLOWANCE_SHARE * bounds.exposure_allowance / calls
+    return min(MAX_SHARE, LARGER_SHARE_OF_BOUND * bounds.exposure_share + extra)
 
 
 def decide_trial(
@@ -71,7 +107,7 @@
     judgement: Judgement,
     elapsed_s: float,
     answering_s: float,
-    exposure_share: float,
+    bounds: TrialBounds,
 ) -> TrialDecision:
     """Return what to do with a candidate on trial.
 
@@ -85,12 +121,12 @@
         Time since the order, in seconds.
     answering_s : float
         Time since the candidate's first answer, in seconds; negative before it.
-    exposure_share : float
-        Share of a service's calls that a bad version may get.
+    bounds : TrialBounds
+        Bounds on the calls that a bad version may get.
     """
     if judgement.is_bad:
         return TrialDecision.ROLL_BACK_BAD
-    in_first_part = entry.share < larger_share(exposure_share)
+    in_first_part = entry.share <= small_share(bounds)
     if (
         in_first_part
         and elapsed_s >= ENLARGE_AFTER_SHARE * entry.duration_s
--- a/tests/standins/rollout_simulation.py
+++ b/tests/standins/rollout_simulation.py
@@ -21,6 +21,7 @@
     RolloutPhase,
     UpstreamRecord,
 )
+from gypsumlock.mesh.state import RolloutBounds
 from gypsumlock.mesh.upstream_registry import UpstreamIncarnation, UpstreamRegistry
 from gypsumlock.result_codes import ResultCode
 from gypsumlock.rollout.conductor import Conductor, Moment
@@ -32,6 +33,7 @@
 __all__ = ["Answering", "Quality", "RolloutSimulation", "SimulatedNode", "good"]
 
 SERVICE = "finder"
+BOUNDS = RolloutBounds(0.1, 50, 5.0)
 TICK_S = 0.05
 REPORT_INTERVAL_S = 0.5
 MAX_RECORD_DELAY_S = 1.0
@@ -146,7 +148,7 @@
 
     def take_over(self, token: int) -> None:
         """Replace the conductor by another node's, which knows what was published."""
-        self.conductor = Conductor(token, self.nodes[0].table, 0.1, self.now_s)
+        self.conductor = Conductor(token, self.nodes[0].table, BOUNDS, (), self.now_s)
 
     def _make_node(self, number: int, version: str) -> SimulatedNode:
         record = UpstreamRecord(
