--- a/gypsumlock/rollout/conductor.py
+++ b/gypsumlock/rollout/conductor.py
@@ -22,7 +22,9 @@
 from gypsumlock.mesh.model import RolloutEntry, RolloutPhase, UpstreamRecord
 from gypsumlock.rollout.evidence import Evidence
 from gypsumlock.rollout.judgement import Judgement, judge
+from gypsumlock.rollout.majority import MajorityTracker
 from gypsumlock.rollout.messages import VersionReport
+from gypsumlock.rollout.order_start import first_entry, is_new_order
 from gypsumlock.rollout.retirement import (
     blocking_upstreams,
     is_draining,
@@ -34,13 +36,8 @@
     TrialDecision,
     decide_trial,
     larger_share,
-    small_share,
-)
-from gypsumlock.rollout.version_table import (
-    ServiceVersions,
-    VersionTable,
-    settled_version,
 )
+from gypsumlock.rollout.version_table import ServiceVersions, VersionTable
 
 __all__ = ["Conductor", "Moment"]
 
@@ -48,9 +45,6 @@
 
 # Time in which the owners report again to a new conductor, in seconds.
 TAKEOVER_S = 1.5
-# Time for which a majority has to last before it is recorded as established, and for
-# which an established version has to be gone before it is replaced, in seconds.
-SETTLE_S = 3.0
 ACTIVE_PHASES = frozenset({RolloutPhase.RUNNING, RolloutPhase.FINISHING})
 
 
@@ -85,8 +79,8 @@
         "_began_s",
         "_bounds",
         "_evidence",
+        "_majority",
         "_table",
-        "_unsettled",
         "entries",
         "token",
     )
@@ -104,8 +98,7 @@
         self._bounds = bounds
         self._began_s = now_s
         self._evidence: dict[str, Evidence] = {}
-        # Version that could become the established one of a service, and since when.
-        self._unsettled: dict[str, tuple[str, float]] = {}
+        self._majority = MajorityTracker()
         self.entries: dict[str, RolloutEntry] = {}
         known = [x.entry for x in table.services.values() if x.entry is not None]
         for entry in sorted([*known, *own], key=lambda x: (x.token, x.revision)):
@@ -146,7 +139,9 @@
                     self._step_trial(entry, versions, moment)
                 else:
                     self._step_finish(entry, versions, gone, moment)
-            elif order is not None and self._is_new(order, statuses.get(service)):
+            elif order is not None and is_new_order(
+                order, entry, statuses.get(service)
+            ):
                 self._begin(order, versions, moment)
             else:
                 self._settle(service, versions, moment)
@@ -183,45 +178,13 @@
 
     # --- decisions ---
 
-    def _is_new(self, order: OrderRow, status: StatusRow | None) -> bool:
-        """Return whether an order has not been carried out yet."""
-        entry = self.entries.get(order.service)
-        if entry is not None and entry.order_version == order.row_version:
-            return False
-        # The entry of an order that ended is lost only with the records of all nodes.
-        return not (
-            entry is None
-            and status is not None
-            and status.is_final
-            and status.candidate == order.candidate
-            and status.row_version > order.row_version
-        )
-
     def _begin(
         self, order: OrderRow, versions: ServiceVersions, moment: Moment
     ) -> None:
         entry = self.entries.get(order.service)
-        if entry is not None:
-            established = settled_version(entry)
-        else:
-            established = versions.majority(order.candidate) or order.candidate
-        is_trial = established != order.candidate
+        begun = first_entry(order, entry, versions, self._bounds, moment.wall_ms)
         self._evidence[order.service] = Evidence()
-        self._put(
-            RolloutEntry(
-                service=order.service,
-                token=self.token,
-                revision=0,
-                established=established,
-                candidate=order.candidate,
-                share=small_share(self._bounds) if is_trial else 1.0,
-                phase=RolloutPhase.RUNNING if is_trial else RolloutPhase.FINISHING,
-                order_version=order.row_version,
-                began_ms=moment.wall_ms,
-                duration_s=order.duration_s,
-            ),
-            "order received",
-        )
+        self._put(begun, "order received")
 
     def _step_trial(
         self, entry: RolloutEntry, versions: ServiceVersions, moment: Moment
@@ -286,24 +249,15 @@
     def _settle(self, service: str, versions: ServiceVersions, moment: Moment) -> None:
         """Record the established version of a service without a roll-out."""
         entry = self.entries.get(service)
-        if entry is not None and settled_version(entry) in versions.serving:
-            self._unsettled.pop(service, None)
-            return
-        version = versions.majority()
-        if not versions.serving:
-            return
-        known = self._unsettled.get(service)
-        if known is None or known[0] != version:
-            self._unsettled[service] = (version, moment.now_s)
-        elif moment.now_s >= known[1] + SETTLE_S:
-            del self._unsettled[service]
+        version = self._majority.version_to_record(
+            service, entry, versions, moment.now_s
+        )
+        if version is not None:
             order_version = entry.order_version if entry else 0
-            self._put(
-                RolloutEntry(
-                    service, self.token, 0, version, order_version=order_version
-                ),
-                "version established",
+            settled = RolloutEntry(
+                service, self.token, 0, version, order_version=order_version
             )
+            self._put(settled, "version established")
 
     # --- helpers ---
 
--- a/tests/standins/rollout_simulation.py
+++ b/tests/standins/rollout_simulation.py
@@ -27,6 +27,7 @@
 from gypsumlock.rollout.conductor import Conductor, Moment
 from gypsumlock.rollout.messages import VersionVerdict
 from gypsumlock.rollout.rows import OrderRow
+from gypsumlock.rollout.trial_pool import choose_pool
 from gypsumlock.rollout.version_gate import VersionGate
 from gypsumlock.rollout.version_table import VersionTable
 
@@ -112,6 +113,7 @@
         routes: int = 10,
     ) -> None:
         self.rng = random.Random(seed)
+        self.upstreams = upstreams
         self.quality = quality
         self.rate_per_s = rate_per_s
         self.routes = routes
@@ -127,6 +129,9 @@
         self.published: list[tuple[float, tuple[RolloutEntry, ...]]] = []
         self.applied: dict[int, int] = {}
         self.conductor: Conductor | None = None
+        # False while no node holds the lease, or the holder can't write to the store.
+        self.has_conductor = True
+        self.can_publish = True
         self.verdicts: list[tuple[float, SimulatedNode, VersionVerdict]] = []
         # Calls of the service, those that the new version got, and when those were bad.
         self.calls = 0
@@ -146,6 +151,13 @@
         while self.now_s < end_s:
             self._tick()
 
+    def trial_nodes(self) -> list[SimulatedNode]:
+        """Return the nodes whose upstreams get the calls of a trial."""
+        entry = RolloutEntry(SERVICE, 1, 1, "v1", "v2", share=0.08)
+        old, new = self.nodes[: self.upstreams], self.nodes[self.upstreams :]
+        records = [[node.record for node in nodes] for nodes in (old, new)]
+        return [self.by_name[x] for x in choose_pool(entry, *records).nodes]
+
     def take_over(self, token: int) -> None:
         """Replace the conductor by another node's, which knows what was published."""
         self.conductor = Conductor(token, self.nodes[0].table, BOUNDS, (), self.now_s)
@@ -207,13 +219,13 @@
     def _step_conductor(self) -> None:
         conductor = self.conductor
         if conductor is None:
-            if self.now_s > 0.15 and not self.phase_ended():
+            if self.has_conductor and self.now_s > 0.15:
                 self.take_over(2)
             return
         moment = Moment(self.now_s, int((WALL_START_S + self.now_s) * 1000))
         conductor.step({SERVICE: self.order}, {}, (), moment)
         entries = tuple(conductor.entries.values())
-        if entries != self.published[-1][1]:
+        if entries != self.published[-1][1] and self.can_publish:
             self._publish(entries, self.now_s)
         self.phase = conductor.entries[SERVICE].phase
         if self.phase_ended():
--- a/tests/test_field_checks.py
+++ b/tests/test_field_checks.py
@@ -57,6 +57,7 @@
 from gypsumlock.platform.endpoints import decode_deregistration, decode_heartbeat
 from gypsumlock.platform.settings import parse_settings
 from gypsumlock.result_codes import ResultCode
+from gypsumlock.rollout.messages import RouteCounts, VersionReport, VersionVerdict
 from tests.standins.mesh_fleet import MeshFleet, make_config
 from tests.test_memory_bounds import RecordingTransport
 from tests.test_platform_adapter import (
@@ -306,6 +307,8 @@
         PackedDelta(1, b"x"),
         ConfigSnapshot(b"x"),
         FeedHeartbeat(True, 1, 1, 1),
+        VersionReport("n", "s", "i", "v", 1, 1, False, [RouteCounts("r", 1, {3: 2})]),
+        VersionVerdict(1, 1, 1, True),
     ]
 
 
--- a/tests/test_rollout_path.py
+++ b/tests/test_rollout_path.py
@@ -141,3 +141,22 @@
         self.assertLessEqual(exposed, allowed)
         # What the new version fails is sent to the old one.
         self.assertNotIn(STATUS_ERROR, self.traffic.statuses)
+
+    async def test_next_conductor_completes_what_a_killed_one_has_begun(self) -> None:
+        """Guards against a roll-out that ends with its conductor."""
+        self.order()
+        await self.wait_until(lambda: self.status().get("state") == "running", 2.0)
+        await asyncio.sleep(2.0)
+        table = self.fleet.hosts[0].node.state.versions
+        name = table.services["finder"].conductor
+        killed = next(host for host in self.fleet.hosts if host.name == name)
+        self.fleet.hosts.remove(killed)
+        assert killed.task is not None
+        killed.task.cancel()
+        await asyncio.gather(killed.task, return_exceptions=True)
+        killed.node.close()
+        self.addCleanup(killed.upstream.stop)
+        await self.wait_until(
+            lambda: self.status() == {"state": "completed", "to": "v2"}, 25.0
+        )
+        self.assertEqual(sum(host.upstream.running for host in self.old), 0)
