--- a/gypsumlock/rollout/conductor.py
+++ b/gypsumlock/rollout/conductor.py
@@ -21,7 +21,7 @@
 from gypsumlock.logs import Component, get_logger
 from gypsumlock.mesh.model import RolloutEntry, RolloutPhase, UpstreamRecord
 from gypsumlock.rollout.evidence import Evidence
-from gypsumlock.rollout.judgement import Judgement, judge
+from gypsumlock.rollout.judgement import Judgement
 from gypsumlock.rollout.majority import MajorityTracker
 from gypsumlock.rollout.messages import VersionReport
 from gypsumlock.rollout.order_start import first_entry, is_new_order
@@ -37,6 +37,7 @@
     decide_trial,
     larger_share,
 )
+from gypsumlock.rollout.version_judge import VersionJudge
 from gypsumlock.rollout.version_table import ServiceVersions, VersionTable
 
 __all__ = ["Conductor", "Moment"]
@@ -78,7 +79,7 @@
     __slots__ = (
         "_began_s",
         "_bounds",
-        "_evidence",
+        "_judges",
         "_majority",
         "_table",
         "entries",
@@ -97,7 +98,7 @@
         self._table = table
         self._bounds = bounds
         self._began_s = now_s
-        self._evidence: dict[str, Evidence] = {}
+        self._judges: dict[str, VersionJudge] = {}
         self._majority = MajorityTracker()
         self.entries: dict[str, RolloutEntry] = {}
         known = [x.entry for x in table.services.values() if x.entry is not None]
@@ -183,7 +184,7 @@
     ) -> None:
         entry = self.entries.get(order.service)
         begun = first_entry(order, entry, versions, self._bounds, moment.wall_ms)
-        self._evidence[order.service] = Evidence()
+        self._judges[order.service] = VersionJudge()
         self._put(begun, "order received")
 
     def _step_trial(
@@ -230,7 +231,7 @@
         gone: Collection[str],
         moment: Moment,
     ) -> None:
-        judgement = self._judge(entry, versions, moment.now_s, finishing=True)
+        judgement = self._judge(entry, versions, moment.now_s)
         if judgement.is_bad and entry.established != entry.candidate:
             reason = TrialDecision.ROLL_BACK_BAD.value
             self._end(entry, RolloutPhase.ROLLED_BACK, reason, judgement)
@@ -262,22 +263,11 @@
     # --- helpers ---
 
     def _judge(
-        self,
-        entry: RolloutEntry,
-        versions: ServiceVersions,
-        now_s: float,
-        finishing: bool = False,
+        self, entry: RolloutEntry, versions: ServiceVersions, now_s: float
     ) -> Judgement:
         serving = versions.serving.get(entry.candidate, ())
-        return judge(
-            self._evidence_of(entry.service),
-            entry.candidate,
-            entry.established,
-            [record.instance for record in serving],
-            entry.suspects,
-            now_s,
-            finishing,
-        )
+        instances = [record.instance for record in serving]
+        return self._judge_of(entry.service).judge(entry, instances, now_s)
 
     def _end(
         self,
@@ -318,5 +308,8 @@
             revision=revision,
         )
 
+    def _judge_of(self, service: str) -> VersionJudge:
+        return self._judges.setdefault(service, VersionJudge())
+
     def _evidence_of(self, service: str) -> Evidence:
-        return self._evidence.setdefault(service, Evidence())
+        return self._judge_of(service).evidence
