Tell owners of a rollback in the answers to their reports

A bad version that was found only after all calls had been moved got calls until the entry had arrived. A call is offered to two upstreams of its first choice before one of the second, so that refusals during a change leave offers for the others.

--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -39,7 +39,7 @@
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.metrics import Metrics
 from gypsumlock.result_codes import ResultCode
-from gypsumlock.rollout.version_choice import version_tiers
+from gypsumlock.rollout.version_choice import merge_tiers, version_tiers
 
 __all__ = ["CallDispatcher"]
 
@@ -260,10 +260,9 @@
         size_bytes = self._mean_call_bytes.get(call.route.name, 0.0)
         profile = CallProfile(call.route, size_bytes)
         now_s = self._loop.time()
-        ordered: list[UpstreamView] = []
-        for tier in version_tiers(self._state.versions, call, views):
-            ordered += self._selector.order_by_cost(profile, tier, now_s)
-        return ordered
+        tiers = version_tiers(self._state.versions, call, views)
+        order_by_cost = self._selector.order_by_cost
+        return merge_tiers([order_by_cost(profile, tier, now_s) for tier in tiers])
 
     def _record_refusal(self, call: Call, outcome: Refusal) -> None:
         call.refusal_code = ResultCode(outcome.code)
--- a/gypsumlock/rollout/conductor.py
+++ b/gypsumlock/rollout/conductor.py
@@ -23,7 +23,7 @@
 from gypsumlock.rollout.evidence import Evidence
 from gypsumlock.rollout.judgement import Judgement
 from gypsumlock.rollout.majority import MajorityTracker
-from gypsumlock.rollout.messages import VersionReport
+from gypsumlock.rollout.messages import VersionReport, VersionVerdict
 from gypsumlock.rollout.order_start import first_entry, is_new_order
 from gypsumlock.rollout.retirement import (
     blocking_upstreams,
@@ -147,18 +147,24 @@
             else:
                 self._settle(service, versions, moment)
 
-    def handle_report(self, report: VersionReport, now_s: float) -> bool:
-        """Record a report; return whether its upstream may get calls on trial."""
+    def handle_report(self, report: VersionReport, now_s: float) -> VersionVerdict:
+        """Record a report, and return the answer."""
         entry = self.entries.get(report.service)
-        if (
-            entry is None
-            or entry.phase not in ACTIVE_PHASES
-            or report.order_version != entry.order_version
-        ):
-            return False
-        self._evidence_of(report.service).absorb(report, now_s)
-        return (
-            report.version == entry.candidate and report.instance not in entry.suspects
+        is_current = entry is not None and report.order_version == entry.order_version
+        if entry is None or not is_current or entry.phase not in ACTIVE_PHASES:
+            accept = False
+        else:
+            self._evidence_of(report.service).absorb(report, now_s)
+            is_candidate = report.version == entry.candidate
+            accept = is_candidate and report.instance not in entry.suspects
+        return VersionVerdict(
+            number=report.number,
+            token=self.token,
+            order_version=report.order_version,
+            accept=accept,
+            rolled_back=is_current
+            and entry is not None
+            and entry.phase is RolloutPhase.ROLLED_BACK,
         )
 
     def silent_owners(self, now_s: float) -> list[UpstreamRecord]:
--- a/gypsumlock/rollout/controller.py
+++ b/gypsumlock/rollout/controller.py
@@ -75,12 +75,10 @@
         conductor = self._conductor
         if conductor is None:
             return None
-        accept = conductor.handle_report(report, time.monotonic())
+        verdict = conductor.handle_report(report, time.monotonic())
         if self._lease.token() != conductor.token:
             return None
-        return VersionVerdict(
-            report.number, conductor.token, report.order_version, accept
-        )
+        return verdict
 
     def _step(self) -> None:
         token = self._lease.token()
--- a/gypsumlock/rollout/messages.py
+++ b/gypsumlock/rollout/messages.py
@@ -60,6 +60,9 @@
     token: Number
     order_version: Number
     accept: bool
+    # True once the conductor has rolled the candidate back; the owners act on it before
+    # the entry arrives.
+    rolled_back: bool = False
 
 
 class ReportHandler(ABC):
--- a/gypsumlock/rollout/version_choice.py
+++ b/gypsumlock/rollout/version_choice.py
@@ -8,7 +8,11 @@
 
 from gypsumlock.rollout.version_table import VersionTable
 
-__all__ = ["version_tiers"]
+__all__ = ["merge_tiers", "version_tiers"]
+
+# Upstreams of the first choice that a call is offered to before one of the second. All
+# of the first may refuse it, while the news of a decision is on its way.
+FIRST_TIER_OFFERS = 2
 
 
 class _View(Protocol):
@@ -30,6 +34,17 @@
 _ViewT = TypeVar("_ViewT", bound=_View)
 
 
+def merge_tiers(tiers: Sequence[Sequence[_ViewT]]) -> Sequence[_ViewT]:
+    """Return the upstreams in the order in which a call is offered to them."""
+    if len(tiers) == 1:
+        return tiers[0]
+    first, *others = tiers
+    ordered = list(first[:FIRST_TIER_OFFERS])
+    for tier in others:
+        ordered += tier
+    return [*ordered, *first[FIRST_TIER_OFFERS:]]
+
+
 def version_tiers(
     table: VersionTable, call: _Call, views: Sequence[_ViewT]
 ) -> list[Sequence[_ViewT]]:
--- a/gypsumlock/rollout/version_gate.py
+++ b/gypsumlock/rollout/version_gate.py
@@ -28,7 +28,7 @@
 PERMISSION_S = 2.0
 # Time for which a replaced upstream accepts calls after its owner learnt of it, in
 # seconds. Other nodes learn of it meanwhile, and send calls elsewhere.
-RETIRE_DELAY_S = 1.0
+RETIRE_DELAY_S = 1.2
 # Reports whose answers are still expected.
 MAX_OPEN_REPORTS = 4
 SERVER_ERROR = 500
@@ -53,6 +53,7 @@
         "_permitted_until_s",
         "_registry",
         "_report_number",
+        "_rolled_back",
         "_sent_at_s",
         "_table",
         "_token",
@@ -73,6 +74,8 @@
         self._permitted_until_s = float("-inf")
         # When the owner learnt that the upstream is replaced, and by which roll-out.
         self._finish_since_s: tuple[int, float] | None = None
+        # Order whose candidate was rolled back, and the token of that decision.
+        self._rolled_back: tuple[int, int] = (-1, 0)
         # Order of the last trial that this process knew of.
         self._trial_seen = -1
         # True once a replaced upstream has no call in flight and accepts none.
@@ -179,8 +182,19 @@
         self._counter.confirm(verdict.number)
         permitted_until_s = sent_at_s + PERMISSION_S if verdict.accept else 0.0
         self._permitted_until_s = permitted_until_s
+        if verdict.rolled_back:
+            self._rolled_back = (verdict.order_version, verdict.token)
 
     def _acceptance(self, incarnation: UpstreamIncarnation) -> Acceptance:
+        entry = self._table.entry(incarnation.service)
+        if (
+            entry is not None
+            and entry.phase in REPORTED_PHASES
+            and (entry.order_version, entry.token) == self._rolled_back
+        ):
+            # The entry that says so is still on its way.
+            is_established = incarnation.version == entry.established
+            return Acceptance.ACCEPT if is_established else Acceptance.REFUSE
         return self._table.acceptance(
             incarnation.service, incarnation.version, incarnation.instance
         )
--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -149,6 +149,17 @@
         self.confirm(gate, 1.0, token=4)
         self.assertFalse(gate.accepts(1.0))
 
+    def test_owners_act_on_a_rollback_before_the_entry_arrives(self) -> None:
+        """Guards against calls at a bad version while its entry is on the way."""
+        for version, accepts in (("v1", True), ("v2", False)):
+            gate = self.make_gate(version, make_entry(RolloutPhase.FINISHING))
+            self.assertEqual(gate.accepts(9.0), not accepts)
+            report = gate.take_report("n", 9.0)
+            assert report is not None
+            verdict = VersionVerdict(report.number, 1, 7, False, rolled_back=True)
+            gate.apply_verdict(verdict)
+            self.assertEqual(gate.accepts(9.0), accepts)
+
     def test_replaced_upstream_retires_only_without_calls_in_flight(self) -> None:
         """Guards against `completed` while an old upstream executes a call."""
         gate = self.make_gate("v1", make_entry())
