--- a/misc/mutations.py
+++ b/misc/mutations.py
@@ -9,6 +9,7 @@
 from misc.mesh_mutations import MESH_MUTATIONS
 from misc.mutation import Mutation
 from misc.report_mutations import REPORT_MUTATIONS
+from misc.rollout_mutations import ROLLOUT_MUTATIONS
 
 __all__ = ["MUTATIONS", "Mutation"]
 
@@ -209,4 +210,5 @@
     ),
     *MESH_MUTATIONS,
     *REPORT_MUTATIONS,
+    *ROLLOUT_MUTATIONS,
 )
--- a/tests/test_rollout_judgement.py
+++ b/tests/test_rollout_judgement.py
@@ -6,7 +6,9 @@
 import unittest
 
 from gypsumlock.mesh.model import RolloutPhase
-from gypsumlock.rollout.judgement import log_evidence
+from gypsumlock.rollout.evidence import Evidence
+from gypsumlock.rollout.judgement import Baseline, judge, log_evidence
+from gypsumlock.rollout.messages import RouteCounts, VersionReport
 from gypsumlock.rollout.share_sequence import ShareSequence
 from tests.standins.rollout_simulation import (
     BOUNDS,
@@ -186,6 +188,21 @@
                     break
         self.assertLess(alarms, 300 * 2.718**-5 * 2 + 3)
 
+    def test_good_answers_of_the_start_do_not_hide_later_errors(self) -> None:
+        """Guards against a version that fails only after hundreds of good answers."""
+        evidence = Evidence()
+        for now_s, good_count, errors in ((1.0, 300, 0), (9.0, 310, 8)):
+            for instance, version in (("i1", "v1"), ("i2", "v2"), ("i3", "v2")):
+                counts = RouteCounts(
+                    "search", errors if version == "v2" else 0, {30: good_count}
+                )
+                report = VersionReport(
+                    "n", "finder", instance, version, 7, 1, False, [counts]
+                )
+                evidence.absorb(report, now_s)
+        base = Baseline(evidence, "v1")
+        self.assertTrue(judge(evidence, "v2", base, ("i2", "i3"), (), 9.5).is_bad)
+
     def test_first_calls_of_all_nodes_are_not_selected_at_once(self) -> None:
         """Guards against nodes whose sequences begin in the same phase."""
         rng = random.Random(5)
