--- a/gypsumlock/rollout/conductor.py
+++ b/gypsumlock/rollout/conductor.py
@@ -13,7 +13,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 from msgspec.structs import replace
@@ -21,20 +21,24 @@
 from gypsumlock.logs import Component, get_logger
 from gypsumlock.mesh.model import RolloutEntry, RolloutPhase, UpstreamRecord
 from gypsumlock.rollout.evidence import Evidence
-from gypsumlock.rollout.judgement import Judgement, judge
-from gypsumlock.rollout.messages import VersionReport
+from gypsumlock.rollout.judgement import Judgement
+from gypsumlock.rollout.majority import MajorityTracker
+from gypsumlock.rollout.messages import VersionReport, VersionVerdict
+from gypsumlock.rollout.order_start import first_entry, is_new_order
+from gypsumlock.rollout.retirement import (
+    blocking_upstreams,
+    is_draining,
+    is_silent,
+)
 from gypsumlock.rollout.rows import OrderRow, StatusRow
 from gypsumlock.rollout.trial import (
+    TrialBounds,
     TrialDecision,
     decide_trial,
     larger_share,
-    small_share,
-)
-from gypsumlock.rollout.version_table import (
-    ServiceVersions,
-    VersionTable,
-    settled_version,
 )
+from gypsumlock.rollout.version_judge import VersionJudge
+from gypsumlock.rollout.version_table import ServiceVersions, VersionTable
 
 __all__ = ["Conductor", "Moment"]
 
@@ -42,12 +46,6 @@
 
 # Time in which the owners report again to a new conductor, in seconds.
 TAKEOVER_S = 1.5
-# Time for which a majority has to last before it is recorded as established, and for
-# which an established version has to be gone before it is replaced, in seconds.
-SETTLE_S = 3.0
-# Time after the last report of an owner in which its own record is not consulted, in
-# seconds.
-REPORT_LIFETIME_S = 3.0
 ACTIVE_PHASES = frozenset({RolloutPhase.RUNNING, RolloutPhase.FINISHING})
 
 
@@ -70,37 +68,44 @@
         Fencing token of the lease.
     table : VersionTable
         Versions of all services, with the entries of earlier conductors.
-    exposure_share : float
-        Share of a service's calls that a bad version may get.
+    bounds : TrialBounds
+        Bounds on the calls that a bad version may get.
+    own : Iterable[RolloutEntry]
+        Entries that this node has published before.
     now_s : float
         Monotonic time.
     """
 
     __slots__ = (
         "_began_s",
-        "_evidence",
-        "_exposure_share",
+        "_bounds",
+        "_judges",
+        "_majority",
         "_table",
-        "_unsettled",
         "entries",
         "token",
     )
 
     def __init__(
-        self, token: int, table: VersionTable, exposure_share: float, now_s: float
+        self,
+        token: int,
+        table: VersionTable,
+        bounds: TrialBounds,
+        own: Iterable[RolloutEntry],
+        now_s: float,
     ) -> None:
         self.token = token
         self._table = table
-        self._exposure_share = exposure_share
+        self._bounds = bounds
         self._began_s = now_s
-        self._evidence: dict[str, Evidence] = {}
-        # Version that could become the established one of a service, and since when.
-        self._unsettled: dict[str, tuple[str, float]] = {}
-        self.entries: dict[str, RolloutEntry] = {
-            service: replace(versions.entry, token=token, revision=1)
-            for service, versions in table.services.items()
-            if versions.entry is not None
-        }
+        self._judges: dict[str, VersionJudge] = {}
+        self._majority = MajorityTracker()
+        self.entries: dict[str, RolloutEntry] = {}
+        known = [x.entry for x in table.services.values() if x.entry is not None]
+        for entry in sorted([*known, *own], key=lambda x: (x.token, x.revision)):
+            # A lease may be renewed late, under the same token.
+            revision = entry.revision + 1 if entry.token == token else 1
+            self.entries[entry.service] = replace(entry, token=token, revision=revision)
 
     def step(
         self,
@@ -135,102 +140,58 @@
                     self._step_trial(entry, versions, moment)
                 else:
                     self._step_finish(entry, versions, gone, moment)
-            elif order is not None and self._is_new(order, statuses.get(service)):
+            elif order is not None and is_new_order(
+                order, entry, statuses.get(service)
+            ):
                 self._begin(order, versions, moment)
             else:
                 self._settle(service, versions, moment)
 
-    def handle_report(self, report: VersionReport, now_s: float) -> bool:
-        """Record a report; return whether its upstream may get calls on trial."""
+    def handle_report(self, report: VersionReport, now_s: float) -> VersionVerdict:
+        """Record a report, and return the answer."""
         entry = self.entries.get(report.service)
-        if (
-            entry is None
-            or entry.phase not in ACTIVE_PHASES
-            or report.order_version != entry.order_version
-        ):
-            return False
-        self._evidence_of(report.service).absorb(report, now_s)
-        return (
-            report.version == entry.candidate and report.instance not in entry.suspects
+        is_current = entry is not None and report.order_version == entry.order_version
+        if entry is None or not is_current or entry.phase not in ACTIVE_PHASES:
+            accept = False
+        else:
+            self._evidence_of(report.service).absorb(report, now_s)
+            is_candidate = report.version == entry.candidate
+            accept = is_candidate and report.instance not in entry.suspects
+        return VersionVerdict(
+            number=report.number,
+            token=self.token,
+            order_version=report.order_version,
+            accept=accept,
+            rolled_back=is_current
+            and entry is not None
+            and entry.phase is RolloutPhase.ROLLED_BACK,
         )
 
-    def blocking(self, service: str, now_s: float) -> list[UpstreamRecord]:
-        """Return the upstreams that may still execute calls of a replaced version."""
-        entry = self.entries[service]
-        versions = self._table.services.get(service) or ServiceVersions()
-        evidence = self._evidence_of(service)
-        blocking = []
-        for record in versions.present:
-            if record.version == entry.candidate:
-                continue
-            reported = evidence.upstreams.get(record.instance)
-            if reported is None or reported.last_seen_s < now_s - REPORT_LIFETIME_S:
-                retired = record.retired
-            else:
-                retired = reported.retired
-            if not retired:
-                blocking.append(record)
-        return blocking
-
-    def is_silent(self, service: str, instance: str, now_s: float) -> bool:
-        """Return whether the owner of an upstream has not reported for a while."""
-        upstream = self._evidence_of(service).upstreams.get(instance)
-        return upstream is None or upstream.last_seen_s < now_s - REPORT_LIFETIME_S
-
-    def _is_draining(self, entry: RolloutEntry, now_s: float) -> bool:
-        """Return whether the owner of a replaced upstream reports calls in flight.
-
-        An upstream that has announced its departure still finishes its calls.
-        """
-        upstreams = self._evidence_of(entry.service).upstreams.values()
-        return any(
-            upstream.version != entry.candidate
-            and not upstream.retired
-            and upstream.last_seen_s >= now_s - REPORT_LIFETIME_S
-            for upstream in upstreams
-        )
+    def silent_owners(self, now_s: float) -> list[UpstreamRecord]:
+        """Return the replaced upstreams whose owners hold up an end and are silent."""
+        silent = []
+        for service, entry in self.entries.items():
+            versions = self._table.services.get(service)
+            if entry.phase is RolloutPhase.FINISHING and versions is not None:
+                evidence = self._evidence_of(service)
+                silent += [
+                    record
+                    for record in blocking_upstreams(
+                        versions.present, entry.candidate, evidence, now_s
+                    )
+                    if is_silent(evidence, record.instance, now_s)
+                ]
+        return silent
 
     # --- decisions ---
 
-    def _is_new(self, order: OrderRow, status: StatusRow | None) -> bool:
-        """Return whether an order has not been carried out yet."""
-        entry = self.entries.get(order.service)
-        if entry is not None and entry.order_version == order.row_version:
-            return False
-        # The entry of an order that ended is lost only with the records of all nodes.
-        return not (
-            entry is None
-            and status is not None
-            and status.is_final
-            and status.candidate == order.candidate
-            and status.row_version > order.row_version
-        )
-
     def _begin(
         self, order: OrderRow, versions: ServiceVersions, moment: Moment
     ) -> None:
         entry = self.entries.get(order.service)
-        if entry is not None:
-            established = settled_version(entry)
-        else:
-            established = versions.majority(order.candidate) or order.candidate
-        is_trial = established != order.candidate
-        self._evidence[order.service] = Evidence()
-        self._put(
-            RolloutEntry(
-                service=order.service,
-                token=self.token,
-                revision=0,
-                established=established,
-                candidate=order.candidate,
-                share=small_share(self._exposure_share) if is_trial else 1.0,
-                phase=RolloutPhase.RUNNING if is_trial else RolloutPhase.FINISHING,
-                order_version=order.row_version,
-                began_ms=moment.wall_ms,
-                duration_s=order.duration_s,
-            ),
-            "order received",
-        )
+        begun = first_entry(order, entry, versions, self._bounds, moment.wall_ms)
+        self._judges[order.service] = VersionJudge()
+        self._put(begun, "order received")
 
     def _step_trial(
         self, entry: RolloutEntry, versions: ServiceVersions, moment: Moment
@@ -247,7 +208,7 @@
             entry.candidate, float("inf")
         )
         decision = decide_trial(
-            entry, judgement, elapsed_s, moment.now_s - first_s, self._exposure_share
+            entry, judgement, elapsed_s, moment.now_s - first_s, self._bounds
         )
         if decision is TrialDecision.CONTINUE:
             return
@@ -257,8 +218,12 @@
             # The owners have not reported everything to this conductor yet.
             return
         elif decision is TrialDecision.ENLARGE:
-            entry = replace(entry, share=larger_share(self._exposure_share))
-            self._put(entry, decision.value, judgement)
+            share = larger_share(
+                self._bounds,
+                (judgement.answers + judgement.base_answers) / elapsed_s,
+                entry.duration_s,
+            )
+            self._put(replace(entry, share=share), decision.value, judgement)
         elif decision in (TrialDecision.FINISH, TrialDecision.FINISH_UNTESTED):
             entry = replace(entry, share=1.0, phase=RolloutPhase.FINISHING)
             self._put(entry, decision.value, judgement)
@@ -272,15 +237,18 @@
         gone: Collection[str],
         moment: Moment,
     ) -> None:
-        judgement = self._judge(entry, versions, moment.now_s, finishing=True)
+        judgement = self._judge(entry, versions, moment.now_s)
         if judgement.is_bad and entry.established != entry.candidate:
             reason = TrialDecision.ROLL_BACK_BAD.value
             self._end(entry, RolloutPhase.ROLLED_BACK, reason, judgement)
             return
-        blocking = self.blocking(entry.service, moment.now_s)
+        evidence = self._evidence_of(entry.service)
+        blocking = blocking_upstreams(
+            versions.present, entry.candidate, evidence, moment.now_s
+        )
         if any(record.node not in gone for record in blocking):
             return
-        if self._is_draining(entry, moment.now_s):
+        if is_draining(evidence, entry.candidate, moment.now_s):
             return
         if entry.candidate in versions.serving:
             self._end(entry, RolloutPhase.COMPLETED, "old upstreams retired")
@@ -288,44 +256,24 @@
     def _settle(self, service: str, versions: ServiceVersions, moment: Moment) -> None:
         """Record the established version of a service without a roll-out."""
         entry = self.entries.get(service)
-        if entry is not None and settled_version(entry) in versions.serving:
-            self._unsettled.pop(service, None)
-            return
-        version = versions.majority()
-        if not versions.serving:
-            return
-        known = self._unsettled.get(service)
-        if known is None or known[0] != version:
-            self._unsettled[service] = (version, moment.now_s)
-        elif moment.now_s >= known[1] + SETTLE_S:
-            del self._unsettled[service]
+        version = self._majority.version_to_record(
+            service, entry, versions, moment.now_s
+        )
+        if version is not None:
             order_version = entry.order_version if entry else 0
-            self._put(
-                RolloutEntry(
-                    service, self.token, 0, version, order_version=order_version
-                ),
-                "version established",
+            settled = RolloutEntry(
+                service, self.token, 0, version, order_version=order_version
             )
+            self._put(settled, "version established")
 
     # --- helpers ---
 
     def _judge(
-        self,
-        entry: RolloutEntry,
-        versions: ServiceVersions,
-        now_s: float,
-        finishing: bool = False,
+        self, entry: RolloutEntry, versions: ServiceVersions, now_s: float
     ) -> Judgement:
         serving = versions.serving.get(entry.candidate, ())
-        return judge(
-            self._evidence_of(entry.service),
-            entry.candidate,
-            entry.established,
-            [record.instance for record in serving],
-            entry.suspects,
-            now_s,
-            finishing,
-        )
+        instances = [record.instance for record in serving]
+        return self._judge_of(entry.service).judge(entry, instances, now_s)
 
     def _end(
         self,
@@ -366,5 +314,8 @@
             revision=revision,
         )
 
+    def _judge_of(self, service: str) -> VersionJudge:
+        return self._judges.setdefault(service, VersionJudge())
+
     def _evidence_of(self, service: str) -> Evidence:
-        return self._evidence.setdefault(service, Evidence())
+        return self._judge_of(service).evidence
--- a/misc/mutations.py
+++ b/misc/mutations.py
@@ -11,6 +11,7 @@
 from misc.organisation_mutations import ORGANISATION_MUTATIONS
 from misc.quota_mutations import QUOTA_MUTATIONS
 from misc.report_mutations import REPORT_MUTATIONS
+from misc.rollout_mutations import ROLLOUT_MUTATIONS
 
 __all__ = ["MUTATIONS", "Mutation"]
 
@@ -213,4 +214,5 @@
     *QUOTA_MUTATIONS,
     *REPORT_MUTATIONS,
     *ORGANISATION_MUTATIONS,
+    *ROLLOUT_MUTATIONS,
 )
