Take no response with an invalid status for one

Cause: statuses below 100 counted as interim responses, and those above 599 as final.

Change: one place tells the statuses apart (http_status.py). Any other status, and a switch of protocols, fails the exchange at once and closes the connection, in the mesh and in gypsumlockd; the owner reports an unknown outcome, as after a lost response. Between nodes the field type allows final statuses only. Only that call fails then: closing the connection would fail the other calls on it, as `a message of another node leaves the others` proves. The client of gypsumlockd also bounds heads and trailers of upstreams, which nothing ended before the deadline.

--- a/gypsumlock/mesh/field_types.py
+++ b/gypsumlock/mesh/field_types.py
@@ -15,6 +15,7 @@
 from msgspec import Meta
 
 from gypsumlock.http_headers import Headers
+from gypsumlock.http_status import MAX_FINAL_STATUS, MIN_FINAL_STATUS
 
 __all__ = [
     "DECODE_ERRORS",
@@ -65,7 +66,8 @@
 Count = Annotated[int, Meta(ge=0, le=2**31 - 1)]
 Slots = Annotated[int, Meta(ge=1, le=100_000)]
 Rank = Annotated[int, Meta(ge=0, le=1_000)]
-StatusCode = Annotated[int, Meta(ge=100, le=999)]
+# Of a final response.
+StatusCode = Annotated[int, Meta(ge=MIN_FINAL_STATUS, le=MAX_FINAL_STATUS)]
 # Version of a row or of the configuration, or number of a message.
 Number = Annotated[int, Meta(ge=0, le=2**63 - 1)]
 # Unix milliseconds, until the year 2100. One in the far future would make every later
--- a/gypsumlock/mesh/upstream_connection.py
+++ b/gypsumlock/mesh/upstream_connection.py
@@ -5,6 +5,8 @@
 Invariants:
 - A connection is reused only after exactly one such response, with no further bytes,
   that did not announce that the connection will close.
+- Only a status from 200 to 599 is that of a response, and from 100 that of an interim
+  one; after any other the connection is closed.
 - What an upstream sends without end is cut off, wherever it is: in a head, a body, a
   trailer, or the response to another call.
 """
@@ -18,6 +20,7 @@
 import httptools
 
 from gypsumlock.http_headers import Headers, has_conflict
+from gypsumlock.http_status import is_final_status, is_status
 from gypsumlock.mesh.memory_account import ByteBudget
 from gypsumlock.mesh.upstream_response import (
     ConnectFailed,
@@ -136,7 +139,7 @@
         was_in_head = not self._headers_complete
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if self._complete:
                 # Data after a complete response belongs to no call.
                 self._reusable = False
@@ -258,7 +261,10 @@
             return
         self._headers_complete = True
         self._status = self._parser.get_status_code()
-        if self._status < 200:
+        if not is_status(self._status):
+            self._fail("invalid status")
+            return
+        if not is_final_status(self._status):
             return
         if self._is_joined_head():
             self._fail("two response heads in one")
@@ -300,7 +306,7 @@
 
     def on_message_complete(self) -> None:
         """Finish the response, or keep waiting if it belongs to another call."""
-        if not self._complete and self._status >= 200 and self._id_matches:
+        if not self._complete and self._id_matches:
             self._finish_response()
 
     def _is_joined_head(self) -> bool:
--- a/gypsumlock/proxy/connection.py
+++ b/gypsumlock/proxy/connection.py
@@ -16,7 +16,9 @@
 import httptools
 
 from gypsumlock import defaults
+from gypsumlock.http_status import is_final_status, is_status
 from gypsumlock.proxy.headers import Headers
+from gypsumlock.section_limit import SectionLimit, split_read
 
 __all__ = ["ConnectionLost", "Http1Connection", "ResponseHead", "UpstreamConnection"]
 
@@ -84,6 +86,7 @@
         "_method",
         "_parser",
         "_reading_paused",
+        "_section",
         "_transport",
         "_wakeup",
     )
@@ -108,6 +111,7 @@
         self._ends_at_close = False
         self._method = "GET"
         self._parser = httptools.HttpResponseParser(self)
+        self._section = SectionLimit()
 
     # --- asyncio.Protocol ---
 
@@ -122,10 +126,10 @@
             # No request is in flight, so the peer violates the protocol.
             self._fail("unexpected data")
             return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            self._fail(f"not HTTP: {type(error).__name__}")
+        for part in split_read(data):
+            self._read(part)
+            if self._failure is not None:
+                break
         self._wakeup.set()
 
     def eof_received(self) -> None:
@@ -155,6 +159,7 @@
         """Reset the response state for a new request."""
         self._method = method
         self._parser = httptools.HttpResponseParser(self)
+        self._section = SectionLimit()
         self._headers = []
         self._head = None
         self._body = []
@@ -219,13 +224,18 @@
     # --- httptools callbacks ---
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header of the response."""
-        self._headers.append((name.lower(), value))
+        """Add a header of the response; trailers are not passed on."""
+        if self._head is None:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Store the head, unless the response is an interim one (1xx)."""
+        self._section.end_section()
         status = self._parser.get_status_code()
-        if status < 200:
+        if not is_status(status):
+            self._fail("invalid status")
+            return
+        if not is_final_status(status):
             return
         self._head = ResponseHead(status, self._headers)
         names = {name for name, _ in self._headers}
@@ -237,8 +247,13 @@
             self._keep_alive = not framed and self._parser.should_keep_alive()
             self._complete = True
 
+    def on_chunk_header(self) -> None:
+        """Note that the size of a chunk was read."""
+        self._section.end_section()
+
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body; pause reading above the buffer limit."""
+        self._section.end_section()
         if self._complete:
             return
         self._body.append(body)
@@ -250,6 +265,7 @@
 
     def on_message_complete(self) -> None:
         """Record the end of the response."""
+        self._section.end_section()
         if self._head is None:
             # The end of an interim response such as 100 Continue.
             self._headers = []
@@ -267,6 +283,16 @@
         if self._failure is not None and self._head is None:
             raise ConnectionLost(self._failure)
 
+    def _read(self, part: bytes | memoryview) -> None:
+        """Parse a slice of the response; fail if a head or trailers have no end."""
+        try:
+            self._parser.feed_data(part)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._fail(f"not HTTP: {type(error).__name__}")
+            return
+        if not self._section.record_slice(len(part), defaults.MAX_HEADER_BYTES):
+            self._fail("no end of the response head or trailers")
+
     def _fail(self, reason: str) -> None:
         self._failure = reason
         if self._transport is not None:
--- a/tests/test_invalid_status.py
+++ b/tests/test_invalid_status.py
@@ -129,6 +129,11 @@
         self.pool = Http1ConnectionPool()
         self.sent: list[dict[str, Any]] = []
 
+    async def asyncTearDown(self) -> None:
+        self.pool.close()
+        # Lets the handlers of the server see that their connections are closed.
+        await asyncio.sleep(0.05)
+
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
