Go on with a store that comes back from a copy

Cause: the store issues versions again after it has come back. A node would compare them with those from before: it would ignore newer rows as older ones, write with an expected version that means another row, and not notice that its own row is lost.

Change: a version of the store is kept as one number with the era in its upper bits (mesh/store_era.py), so that rows, cursors and messages between nodes carry it without another field, and every comparison puts the later era first. The store client adds the era of each answer and strips it from requests; it sends no version of another era, and reports a call that met a new era as lost history. MeshState.store_era tells the latest era that a node has heard of, from any answer or from another node; whoever writes to the store subscribes to it. Records that the copy lacks stay in use for 10 s. Without the header all versions are those that the store tells.

The stand-in stores keep a copy and come back from it.

--- a/gypsumlock/mesh/feed_follower.py
+++ b/gypsumlock/mesh/feed_follower.py
@@ -148,6 +148,8 @@
         if heartbeat.store_connected:
             self._store_connected_at_s = self.loop.time()
         feed = self._feed
+        feed.observe_era(heartbeat.records_synced_version)
+        feed.observe_era(heartbeat.config_synced_version)
         if heartbeat.records_synced_version and feed.records_cursor.loaded:
             feed.records_cursor.advance(heartbeat.records_synced_version)
         if heartbeat.config_version <= feed.config_version:
--- a/gypsumlock/mesh/feed_store.py
+++ b/gypsumlock/mesh/feed_store.py
@@ -3,6 +3,9 @@
 A reader reads a complete table once, then waits for changes. Every call can fail with
 `PLATFORM_UNREACHABLE`. A write whose response is lost may have taken effect, or may
 take effect later if its condition still holds.
+
+All versions carry the era of the store (`mesh/store_era.py`). A call that began in
+another era than it ended in has the error `PLATFORM_HISTORY_LOST`.
 """
 
 from __future__ import annotations
@@ -70,7 +73,10 @@
     async def write_row(
         self, table: str, key: str, value: bytes, expected: int
     ) -> Result[WriteOutcome, Fault]:
-        """Write a row if its version is the expected one; 0 means no such row."""
+        """Write a row if its version is the expected one; 0 means no such row.
+
+        A version of an earlier era is never the expected one.
+        """
 
     @abstractmethod
     async def close(self) -> None:
--- a/gypsumlock/mesh/fleet_feed.py
+++ b/gypsumlock/mesh/fleet_feed.py
@@ -6,6 +6,8 @@
 Invariants:
 - The configuration in force and the record of a node are never replaced by older
   ones.
+- A record of a later era of the store replaces one of an earlier era; the owner of a
+  record that was lost writes it again.
 - `synced_version` of a table is a version of the store up to which no change is
   missing.
 """
@@ -22,6 +24,7 @@
 from gypsumlock.mesh.model import MeshConfig, UpstreamRecord
 from gypsumlock.mesh.route_table import RouteTable
 from gypsumlock.mesh.state import MeshState
+from gypsumlock.mesh.store_era import era_of
 
 __all__ = ["FeedListener", "FleetFeed", "TableCursor"]
 
@@ -88,6 +91,7 @@
     def __init__(self, state: MeshState, directory: UpstreamDirectory) -> None:
         self._state = state
         self._directory = directory
+        state.store_era.subscribe(self._begin_era)
         self.listener: FeedListener | None = None
         # Records and their row versions, by node name.
         self.records: dict[str, RecordRow] = {}
@@ -167,6 +171,7 @@
     def merge_records(self, rows: Iterable[RecordRow]) -> None:
         """Merge those records that are newer than the local ones."""
         newer = [row for row in rows if self._is_newer(row)]
+        self.observe_era(max((row.row_version for row in newer), default=0))
         for row in newer:
             self.records[row.record.node] = row
         if newer:
@@ -176,6 +181,15 @@
             if self.listener is not None:
                 self.listener.on_records(newer)
 
+    def observe_era(self, version: int) -> None:
+        """Note the era of a version that came from the store or another node."""
+        self._state.store_era.observe(era_of(version))
+
+    def _begin_era(self) -> None:
+        """Have the node's own row read and, if need be, written again."""
+        self._state.published.update(None)
+        self._state.publish_needed.set()
+
     def drop_records(self, nodes: Iterable[str], store_version: int) -> None:
         """Remove records whose rows no longer existed at a version of the store.
 
--- a/gypsumlock/mesh/record_watcher.py
+++ b/gypsumlock/mesh/record_watcher.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import anyio
 import msgspec
 
@@ -12,6 +14,7 @@
 from gypsumlock.mesh.fleet_feed import FleetFeed
 from gypsumlock.mesh.model import UpstreamRecord
 from gypsumlock.mesh.state import MeshState
+from gypsumlock.mesh.store_era import era_of
 from gypsumlock.mesh.table_watcher import FLEET_START_DELAY_S, TableWatcher
 
 __all__ = ["RECORD_TABLE", "RecordWatcher", "decode_record"]
@@ -29,6 +32,9 @@
 # that the store responds again, in seconds, and the interval at which it looks.
 RECORD_RETRY_MAX_S = 5.0
 RECOVERY_POLL_INTERVAL_S = 0.2
+# Time in which the owner of a record that was lost with an earlier era of the store
+# writes it again, in seconds. Until then the record stays in use.
+REWRITE_TIMEOUT_S = 10.0
 
 
 class RecordWatcher(TableWatcher):
@@ -60,11 +66,26 @@
         self.apply_changes(snapshot)
         present = {row.key for row in snapshot.rows}
         deleted = [node for node in self._feed.records if node not in present]
+        lost = [node for node in deleted if self._is_of_earlier_era(node, snapshot)]
+        if lost:
+            loop = asyncio.get_running_loop()
+            loop.call_later(REWRITE_TIMEOUT_S, self._drop_lost, lost, snapshot)
+        deleted = [node for node in deleted if node not in lost]
         self._feed.drop_records(deleted, snapshot.version)
         self._state.directory_loaded = True
         if not self._feed.fleet_start:
             self._feed.records_known.set()
 
+    def _is_of_earlier_era(self, node: str, snapshot: TableChanges) -> bool:
+        row_version = self._feed.records[node].row_version
+        return era_of(row_version) < era_of(snapshot.version)
+
+    def _drop_lost(self, nodes: list[str], snapshot: TableChanges) -> None:
+        """Drop records that a copy of the store lacks and nobody has written again."""
+        known = [node for node in nodes if node in self._feed.records]
+        lost = [node for node in known if self._is_of_earlier_era(node, snapshot)]
+        self._feed.drop_records(lost, snapshot.version)
+
     async def _after_read(self) -> None:
         """At the first start of a fleet, wait until upstreams have been announced."""
         if self._feed.records_known.is_set():
--- a/gypsumlock/mesh/state.py
+++ b/gypsumlock/mesh/state.py
@@ -15,6 +15,7 @@
 from gypsumlock.mesh.pacer import Pacer
 from gypsumlock.mesh.published_record import PublishedRecord
 from gypsumlock.mesh.route_table import RouteTable
+from gypsumlock.mesh.store_era import StoreEra
 from gypsumlock.mesh.upstream_registry import UpstreamRegistry
 
 __all__ = [
@@ -189,6 +190,7 @@
         "route_table",
         "service",
         "stopping_since_s",
+        "store_era",
         "upstream_probed",
         "zone",
     )
@@ -222,6 +224,9 @@
         # Set whenever the node's own record has to be published again.
         self.publish_needed = asyncio.Event()
         self.published = PublishedRecord()
+        # Era of the platform's store. What this process has written in an earlier one
+        # counts as lost.
+        self.store_era = StoreEra()
         # Record that an earlier process of this node published, once it was read; None
         # if there is none.
         self.previous_record: asyncio.Future[UpstreamRecord | None] = (
--- a/gypsumlock/platform/daemon.py
+++ b/gypsumlock/platform/daemon.py
@@ -70,7 +70,7 @@
         max_fds=settings.max_fds or resource.getrlimit(resource.RLIMIT_NOFILE)[0],
     )
     node = MeshNode(state)
-    store = PlatformStore(settings.store_address)
+    store = PlatformStore(settings.store_address, state.store_era)
     controllers: list[Controller] = [
         ConfigWatcher(store, node.feed, CONFIG_TABLE, CONFIG_KEY, decode_config),
         RecordWatcher(store, state, node.feed),
--- a/gypsumlock/platform/names.py
+++ b/gypsumlock/platform/names.py
@@ -12,6 +12,7 @@
     "HEARTBEAT_PATH_PREFIX",
     "METRICS_PATH",
     "READY_PATH",
+    "STORE_ERA_HEADER",
 ]
 
 READY_PATH = b"/-/readyz"
@@ -25,6 +26,9 @@
 CONFIG_TABLE = "op"
 CONFIG_KEY = "config"
 
+# In all answers of the store: how often it has come back from a copy.
+STORE_ERA_HEADER = b"store-era"
+
 HEADER_NAMES = HeaderNames(
     request_id=b"request-id",
     deadline_ms=b"deadline-ms",
--- a/tests/standins/feed_store.py
+++ b/tests/standins/feed_store.py
@@ -1,23 +1,33 @@
-"""In-memory table store with the failure modes of the real one."""
+"""In-memory table store with the failure modes of the real one.
+
+Its versions carry its era, as those of `FeedStore` do.
+"""
 
 from __future__ import annotations
 
 import asyncio
 from collections import defaultdict
+from collections.abc import Coroutine
+from typing import Any, TypeVar
 
 from result import Err, Ok, Result
 
 from gypsumlock.mesh.feed_store import FeedRow, FeedStore, TableChanges, WriteOutcome
+from gypsumlock.mesh.store_era import StoreEra, add_era, era_of, store_version
 from gypsumlock.result_codes import Fault, ResultCode
 
 __all__ = ["MemoryFeedStore", "StoreAccess"]
 
+_AnswerT = TypeVar("_AnswerT")
+
 
 class MemoryFeedStore(FeedStore):
     """Stores rows in dictionaries; flags and counters inject failures."""
 
     def __init__(self) -> None:
         self.version = 0
+        # Times at which it came back from a copy, and 1; 0 if it tells no era.
+        self.era = 0
         self.tables: dict[str, dict[str, FeedRow]] = defaultdict(dict)
         self.history: list[tuple[str, FeedRow]] = []
         # While True, every call fails without effect.
@@ -31,10 +41,11 @@
         self.history_start_version = 0
         self.call_count = 0
         self._changed = asyncio.Event()
+        self._copy: tuple[int, dict[str, dict[str, FeedRow]]] = (0, {})
 
     def put(self, table: str, key: str, value: bytes | None) -> None:
         """Write a row unconditionally, as another client of the store would."""
-        self.version += 1
+        self.version = add_era(store_version(self.version) + 1, self.era)
         row = FeedRow(key, value, self.version)
         if value is None:
             self.tables[table].pop(key, None)
@@ -43,6 +54,30 @@
         self.history.append((table, row))
         self._notify_waiters()
 
+    def begin_eras(self) -> None:
+        """Tell an era from now on; called before anything is written."""
+        self.era = 1
+
+    def copy(self) -> None:
+        """Keep a copy of all rows."""
+        rows = {table: dict(rows) for table, rows in self.tables.items()}
+        self._copy = (store_version(self.version), rows)
+
+    def restore(self) -> None:
+        """Come back from the copy: what was written since is lost."""
+        self.era += 1
+        version, tables = self._copy
+        self.version = add_era(version, self.era)
+        self.tables.clear()
+        self.history = []
+        for table, rows in tables.items():
+            for row in rows.values():
+                row_version = add_era(store_version(row.version), self.era)
+                restored = FeedRow(row.key, row.value, row_version)
+                self.tables[table][row.key] = restored
+                self.history.append((table, restored))
+        self._notify_waiters()
+
     def forget_history(self) -> None:
         """Drop all changes made so far from the history."""
         self.history_start_version = self.version
@@ -80,7 +115,8 @@
                 return _unreachable()
             if self.down:
                 return _unreachable()
-            if after < self.history_start_version:
+            is_lost = after < self.history_start_version or after > self.version
+            if is_lost or (after and era_of(after) != self.era):
                 message = "history no longer available"
                 return Err(Fault(ResultCode.PLATFORM_HISTORY_LOST, message))
             rows = tuple(
@@ -123,45 +159,50 @@
 class StoreAccess(FeedStore):
     """One node's access to a store; records its calls and can be disconnected."""
 
-    def __init__(self, store: FeedStore) -> None:
+    def __init__(self, store: MemoryFeedStore) -> None:
         self._store = store
+        # Of the node; it hears of the era with each answer.
+        self.store_era = StoreEra()
         # While True, every call of this node fails.
         self.disconnected = False
         # Table of each call, in order: reads, waits and writes.
         self.called_tables: list[str] = []
 
     async def read_table(self, table: str) -> Result[TableChanges, Fault]:
-        self.called_tables.append(table)
-        return (
-            _unreachable() if self.disconnected else await self._store.read_table(table)
-        )
+        return await self._call(table, self._store.read_table(table))
 
     async def read_row(self, table: str, key: str) -> Result[FeedRow, Fault]:
-        self.called_tables.append(table)
-        if self.disconnected:
-            return _unreachable()
-        return await self._store.read_row(table, key)
+        return await self._call(table, self._store.read_row(table, key))
 
     async def wait_for_changes(
         self, table: str, after: int, wait_s: float
     ) -> Result[TableChanges, Fault]:
-        self.called_tables.append(table)
-        if self.disconnected:
-            return _unreachable()
-        changes = await self._store.wait_for_changes(table, after, wait_s)
-        return _unreachable() if self.disconnected else changes
+        changes = self._store.wait_for_changes(table, after, wait_s)
+        return await self._call(table, changes)
 
     async def write_row(
         self, table: str, key: str, value: bytes, expected: int
     ) -> Result[WriteOutcome, Fault]:
-        self.called_tables.append(table)
-        if self.disconnected:
-            return _unreachable()
-        return await self._store.write_row(table, key, value, expected)
+        outcome = self._store.write_row(table, key, value, expected)
+        return await self._call(table, outcome)
 
     async def close(self) -> None:
         """Do nothing; there are no connections."""
 
+    async def _call(
+        self, table: str, answer: Coroutine[Any, Any, Result[_AnswerT, Fault]]
+    ) -> Result[_AnswerT, Fault]:
+        """Return the answer of the store, if it can be reached before and after."""
+        self.called_tables.append(table)
+        if self.disconnected:
+            answer.close()
+            return _unreachable()
+        result = await answer
+        if self.disconnected:
+            return _unreachable()
+        self.store_era.observe(self._store.era)
+        return result
+
 
 def _unreachable() -> Err[Fault]:
     return Err(Fault(ResultCode.PLATFORM_UNREACHABLE, "stand-in store is down"))
--- a/tests/standins/mesh_fleet.py
+++ b/tests/standins/mesh_fleet.py
@@ -297,4 +297,5 @@
         )
         node = MeshNode(state)
         store = StoreAccess(self.store)
+        store.store_era = state.store_era
         return MeshHost(name, service, zone, upstream, addresses, node, store)
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -25,6 +25,7 @@
 from gypsumlock.mesh.feed_store import FeedRow
 from gypsumlock.mesh.http_messages import HttpRequest
 from gypsumlock.mesh.http_server import CallServer, HttpHandler, ServerConnection
+from gypsumlock.mesh.store_era import add_era, store_version
 from gypsumlock.result_codes import ResultCode
 from tests.standins.feed_store import MemoryFeedStore
 from tests.standins.mesh_fleet import free_address
@@ -53,7 +54,10 @@
             status, body = await self._write_row(json.loads(request.body))
         else:
             status, body = 404, {}
-        connection.send_response(status, JSON_HEADERS, json.dumps(body).encode())
+        headers = list(JSON_HEADERS)
+        if self._store.era:
+            headers.append((b"store-era", b"%d" % self._store.era))
+        connection.send_response(status, headers, json.dumps(body).encode())
 
     async def _get_rows(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         table = query["table"]
@@ -70,7 +74,7 @@
         return 200, {
             "rows": rows,
             "truncated": truncated,
-            "ver": result.ok_value.version,
+            "ver": store_version(result.ok_value.version),
         }
 
     async def _wait_for_changes(
@@ -78,30 +82,36 @@
     ) -> tuple[int, dict[str, Any]]:
         wait_s = int(query["wait_ms"]) / 1000
         table = query["table"]
-        result = await self._store.wait_for_changes(table, int(query["after"]), wait_s)
+        after = add_era(int(query["after"]), self._store.era)
+        result = await self._store.wait_for_changes(table, after, wait_s)
         if isinstance(result, Err):
             history_lost = result.err_value.code is ResultCode.PLATFORM_HISTORY_LOST
             return (410 if history_lost else 503), {}
         rows = [_encode_row(table, row) for row in result.ok_value.rows]
-        return 200, {"rows": rows, "ver": result.ok_value.version}
+        return 200, {"rows": rows, "ver": store_version(result.ok_value.version)}
 
     async def _write_row(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         (expect,), (upsert,) = body["expect"], body["upserts"]
         value = base64.b64decode(upsert["value"])
         result = await self._store.write_row(
-            upsert["table"], upsert["key"], value, expect["ver"]
+            upsert["table"],
+            upsert["key"],
+            value,
+            add_era(expect["ver"], self._store.era),
         )
         if isinstance(result, Err):
             return 503, {}
         current = result.ok_value.current
+        version = store_version(result.ok_value.version)
         if current is None:
-            return 200, {"ver": result.ok_value.version, "now_s": 1.0}
+            return 200, {"ver": version, "now_s": 1.0}
         rows = [] if current.value is None else [_encode_row(upsert["table"], current)]
-        return 412, {"rows": rows, "ver": result.ok_value.version}
+        return 412, {"rows": rows, "ver": version}
 
 
 def _encode_row(table: str, row: FeedRow) -> dict[str, Any]:
-    encoded = {"table": table, "part": "", "key": row.key, "ver": row.version}
+    version = store_version(row.version)
+    encoded = {"table": table, "part": "", "key": row.key, "ver": version}
     if row.value is None:
         return {**encoded, "removed": True}
     return {**encoded, "value": base64.b64encode(row.value).decode()}
