--- a/gypsumlock/mesh/feed_follower.py
+++ b/gypsumlock/mesh/feed_follower.py
@@ -157,6 +157,8 @@
             heartbeat.config_version <= feed.config_version
         ):
             feed.confirm_config(sent_at_s - heartbeat.config_age_s)
+        feed.observe_era(heartbeat.records_synced_version)
+        feed.observe_era(heartbeat.config_synced_version)
         if heartbeat.records_synced_version and feed.records_cursor.loaded:
             feed.records_cursor.advance(heartbeat.records_synced_version)
         if heartbeat.config_version <= feed.config_version:
--- a/gypsumlock/platform/daemon.py
+++ b/gypsumlock/platform/daemon.py
@@ -73,7 +73,7 @@
         max_fds=settings.max_fds or resource.getrlimit(resource.RLIMIT_NOFILE)[0],
     )
     node = MeshNode(state)
-    store = PlatformStore(settings.store_address)
+    store = PlatformStore(settings.store_address, state.store_era)
     granter = node.quota_granter
     granter.leases = LeaseKeeper(store, settings.node, granter.refresh)
     controllers: list[Controller] = [
--- a/gypsumlock/platform/names.py
+++ b/gypsumlock/platform/names.py
@@ -15,6 +15,7 @@
     "READY_PATH",
     "ROLLOUT_KEY_PREFIX",
     "STATUS_TABLE",
+    "STORE_ERA_HEADER",
 ]
 
 READY_PATH = b"/-/readyz"
@@ -33,6 +34,9 @@
 STATUS_TABLE = "status"
 ROLLOUT_KEY_PREFIX = "rollout/"
 
+# In all answers of the store: how often it has come back from a copy.
+STORE_ERA_HEADER = b"store-era"
+
 HEADER_NAMES = HeaderNames(
     request_id=b"request-id",
     deadline_ms=b"deadline-ms",
