Hold no lease that a restored store may have lost

Cause: a store that comes back from a copy may lack the row of a lease. Another node would have found the lease vacant while its holder still used it, and a lower fencing token would have made the new holder look like the old one.

Change: a holder stops with the new era and writes the row again; all others wait for the duration of the lost lease. Tokens of an era are above those of all earlier ones. Limitation: a process that starts after the change can't tell that it happened.

--- a/gypsumlock/leases/lease_keeper.py
+++ b/gypsumlock/leases/lease_keeper.py
@@ -10,10 +10,17 @@
 
 from gypsumlock.controller import Controller
 from gypsumlock.leases.lease import decode_lease, encode_lease
-from gypsumlock.leases.lease_state import DURATION_S, LeaseState, LeaseStep, StepKind
+from gypsumlock.leases.lease_state import (
+    DURATION_S,
+    MARGIN_S,
+    LeaseState,
+    LeaseStep,
+    StepKind,
+)
 from gypsumlock.logs import Component, get_logger
 from gypsumlock.mesh.boot_clock import boot_time_s
 from gypsumlock.mesh.feed_store import FeedStore
+from gypsumlock.mesh.store_era import StoreEra
 
 __all__ = ["LEASE_TABLE", "LeaseKeeper"]
 
@@ -41,18 +48,22 @@
         Returns the time in seconds; goes on during a suspension.
     duration_s : float
         Duration of the leases, in seconds.
+    store_era : StoreEra | None
+        Tells when the store has come back from a copy; None if it never does.
     """
 
     __slots__ = (
         "_candidacies",
         "_clock",
         "_duration_s",
+        "_era",
         "_failing",
         "_held_tokens",
         "_node",
         "_running",
         "_states",
         "_store",
+        "_vacant_from_s",
     )
 
     def __init__(
@@ -62,6 +73,7 @@
         candidacies: Callable[[], Collection[str]],
         clock: Callable[[], float] = boot_time_s,
         duration_s: float = DURATION_S,
+        store_era: StoreEra | None = None,
     ) -> None:
         self._duration_s = duration_s
         self._store = store
@@ -69,6 +81,12 @@
         self._candidacies = candidacies
         self._clock = clock
         self._states: dict[str, LeaseState] = {}
+        self._era = 0
+        # Time before which lost leases of other holders may still run.
+        self._vacant_from_s = float("-inf")
+        if store_era is not None:
+            self._era = store_era.number
+            store_era.subscribe(lambda: self._begin_era(store_era.number))
         # Tokens as of the last check, for the log.
         self._held_tokens: dict[str, int] = {}
         # Leases whose last call to the store failed.
@@ -76,6 +94,19 @@
         # Calls to the store by lease.
         self._running: dict[str, asyncio.Task[None]] = {}
 
+    def _begin_era(self, era: int) -> None:
+        """Hold no lease that a store which came back from a copy may have lost."""
+        was_known, self._era = self._era > 0, era
+        if not was_known:
+            # The first answer of the store: nothing is known to be lost.
+            for state in self._states.values():
+                state.era = era
+            return
+        now_s = self._clock()
+        self._vacant_from_s = now_s + self._duration_s + MARGIN_S
+        for state in self._states.values():
+            state.begin_era(era, now_s)
+
     def held(self, name: str) -> int | None:
         """Return the fencing token of a lease if this node holds it now, or None.
 
@@ -110,7 +141,9 @@
         candidacies = self._candidacies()
         for name in candidacies:
             if name not in self._states:
-                self._states[name] = LeaseState(self._node, self._duration_s)
+                self._states[name] = LeaseState(
+                    self._node, self._duration_s, self._era, self._vacant_from_s
+                )
         now_s = self._clock()
         for name, state in list(self._states.items()):
             self._log_change(name, state.held(now_s))
--- a/gypsumlock/leases/lease_state.py
+++ b/gypsumlock/leases/lease_state.py
@@ -14,6 +14,11 @@
 version, and adds the margin. So at most one node is the holder at any time, if the
 clocks of two machines differ by less than two margins over a duration.
 
+A store that comes back from a copy (`mesh/store_era.py`) may have lost the row. Its
+holder stops at once and may write the row again; all others wait until the holder has
+certainly heard of the new era, or its lease has run out. Tokens of a new era are higher
+than all earlier ones.
+
 It is designed for a few candidates for each lease, a store that may be away for most of
 a duration, and processes that are paused at any point. All times are those of a clock
 that goes on during a suspension.
@@ -25,6 +30,7 @@
 from enum import Enum
 
 from gypsumlock.leases.lease import Lease
+from gypsumlock.mesh.store_era import add_era
 
 __all__ = ["DURATION_S", "LeaseState", "LeaseStep", "StepKind"]
 
@@ -80,6 +86,11 @@
         Name of the node.
     duration_s : float
         Duration of the lease in seconds, for which the node acquires it.
+    era : int
+        Era of the store.
+    vacant_from_s : float
+        Time before which the lease of another holder may still run, although its row
+        was lost.
     """
 
     __slots__ = (
@@ -94,11 +105,21 @@
         "_row",
         "_seen_at_s",
         "_token",
+        "_vacant_from_s",
         "_version",
+        "era",
     )
 
-    def __init__(self, node: str, duration_s: float = DURATION_S) -> None:
+    def __init__(
+        self,
+        node: str,
+        duration_s: float = DURATION_S,
+        era: int = 0,
+        vacant_from_s: float = float("-inf"),
+    ) -> None:
         self._node = node
+        self.era = era
+        self._vacant_from_s = vacant_from_s
         self._duration_s = duration_s
         self._row: Lease | None = None
         # None until the row was read.
@@ -157,7 +178,8 @@
             assert self._row is not None
             return LeaseStep(StepKind.RENEW, self._row, self._version)
         if self._is_vacant(now_s):
-            token = 1 if self._row is None else self._row.token + 1
+            last_token = 0 if self._row is None else self._row.token
+            token = max(last_token + 1, add_era(1, self.era))
             lease = Lease(self._node, token, self._duration_s)
             return LeaseStep(StepKind.ACQUIRE, lease, self._version)
         return LeaseStep(StepKind.READ)
@@ -221,6 +243,25 @@
         self._last_call_at_s = now_s
         self._next_call_at_s = self._due_at_s(now_s)
 
+    def begin_era(self, era: int, now_s: float) -> None:
+        """Record that the store has come back from a copy.
+
+        Parameters
+        ----------
+        era : int
+            The new era.
+        now_s : float
+            The time.
+        """
+        if self._token is None:
+            self._vacant_from_s = now_s + self._duration_s + MARGIN_S
+        self.era = era
+        self._token = None
+        self._pending = None
+        self._seen_at_s = now_s
+        self._must_read = True
+        self._next_call_at_s = now_s
+
     def call_failed(self, now_s: float) -> None:
         """Record that a call to the store failed; a write may have taken effect."""
         self._must_read = True
@@ -241,12 +282,16 @@
             return max(now_s, renew_at_s + min(RENEW_INTERVAL_S, max_interval_s))
         if self._is_vacant(now_s):
             return now_s
-        assert self._row is not None
-        vacant_at_s = self._seen_at_s + self._row.duration_s + MARGIN_S
+        vacant_at_s = self._vacant_from_s
+        if self._row is not None and self._row.holder:
+            row_ends_at_s = self._seen_at_s + self._row.duration_s + MARGIN_S
+            vacant_at_s = max(vacant_at_s, row_ends_at_s)
         return min(vacant_at_s, now_s + min(POLL_INTERVAL_S, max_interval_s))
 
     def _is_vacant(self, now_s: float) -> bool:
         row = self._row
+        if now_s < self._vacant_from_s:
+            return False
         if row is None or not row.holder or row.holder == self._node:
             # An earlier process of this node has ended.
             return True
--- a/gypsumlock/platform/daemon.py
+++ b/gypsumlock/platform/daemon.py
@@ -75,7 +75,9 @@
     node = MeshNode(state)
     store = PlatformStore(settings.store_address, state.store_era)
     granter = node.quota_granter
-    granter.leases = LeaseKeeper(store, settings.node, granter.refresh)
+    granter.leases = LeaseKeeper(
+        store, settings.node, granter.refresh, store_era=state.store_era
+    )
     controllers: list[Controller] = [
         ConfigWatcher(store, node.feed, CONFIG_TABLE, CONFIG_KEY, decode_config),
         RecordWatcher(store, state, node.feed),
--- a/gypsumlock/rollout/wiring.py
+++ b/gypsumlock/rollout/wiring.py
@@ -49,7 +49,11 @@
     state = node.state
     candidates = ConductorCandidates(state)
     keeper = LeaseKeeper(
-        store, state.node, candidates.leases, duration_s=LEASE_DURATION_S
+        store,
+        state.node,
+        candidates.leases,
+        duration_s=LEASE_DURATION_S,
+        store_era=state.store_era,
     )
     conductor = RolloutController(store, state, node.feed, _KeptLease(keeper), rows)
     node.peer_server.report_handler = conductor
--- a/tests/standins/mesh_fleet.py
+++ b/tests/standins/mesh_fleet.py
@@ -249,7 +249,9 @@
         state = host.node.state
         await host.node.listen(_ReadinessHandler(state), _ReadinessHandler(state))
         granter = host.node.quota_granter
-        granter.leases = LeaseKeeper(host.store, state.node, granter.refresh)
+        granter.leases = LeaseKeeper(
+            host.store, state.node, granter.refresh, store_era=state.store_era
+        )
         controllers: list[Controller] = [
             granter.leases,
             ConfigWatcher(host.store, host.node.feed, "op", "config", _decode),
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -194,5 +194,40 @@
         run_simulated(run())
 
 
+class TestRestoredStore(unittest.TestCase):
+    """Two holders after the store has come back from a copy without the row."""
+
+    def acquire(self, state: LeaseState, now_s: float) -> int:
+        """Acquire the lease on a store without its row; return the token."""
+        state.observe(0, None, now_s)
+        step = state.next_step(now_s, is_candidate=True)
+        self.assertIs(step.kind, StepKind.ACQUIRE)
+        state.start_write(step, now_s)
+        state.write_done(7, now_s)
+        token = state.held(now_s)
+        assert token is not None
+        return token
+
+    def test_holder_stops_until_it_has_written_the_row_again(self) -> None:
+        state = LeaseState("n1", era=1)
+        before = self.acquire(state, 0.0)
+        state.begin_era(2, 1.0)
+        self.assertIsNone(state.held(1.0))
+        self.assertIs(state.next_step(1.0, is_candidate=True).kind, StepKind.READ)
+        # A lower token than that of the lost row would be taken for an old holder's.
+        self.assertGreater(self.acquire(state, 1.1), before)
+
+    def test_others_wait_for_the_lost_lease_to_run_out(self) -> None:
+        state = LeaseState("n2", era=1)
+        state.begin_era(2, 1.0)
+        for now_s in (1.0, 8.0, 16.4):
+            state.observe(0, None, now_s)
+            step = state.next_step(now_s, is_candidate=True)
+            self.assertIsNot(step.kind, StepKind.ACQUIRE)
+        state.observe(0, None, 16.6)
+        step = state.next_step(16.6, is_candidate=True)
+        self.assertIs(step.kind, StepKind.ACQUIRE)
+
+
 if __name__ == "__main__":
     unittest.main()
