Compute the weight of a load report once for each upstream

Cause: the selection compares all upstreams of a service for each attempt, and computed the weight of the same load report four times for each of them.

Change: the weight is computed once; terms that are zero are left out. No decision changes: 400 random cases of 29 upstreams are ordered as before.

Run: test_mesh_decisions 34 passed.

--- a/gypsumlock/mesh/placement.py
+++ b/gypsumlock/mesh/placement.py
@@ -119,10 +119,13 @@
 
     def in_flight(self, now_s: float) -> float:
         """Return the estimated number of calls at the upstream, running or queued."""
-        freshness = self.freshness(now_s)
+        return self.in_flight_at(self.freshness(now_s))
+
+    def in_flight_at(self, freshness: float) -> float:
+        """Return the same, for a weight of the last load report."""
         # Calls that other nodes sent.
-        others = max(0, self.load.in_flight - self.outstanding_at_report)
-        return self.outstanding + others * freshness
+        others = self.load.in_flight - self.outstanding_at_report
+        return self.outstanding + others * freshness if others > 0 else self.outstanding
 
 
 class UpstreamSelector:
@@ -183,8 +186,12 @@
         refusal and of a failure are added.
         """
         target_s = route_target_s(profile.route)
+        # Computed once: the selection does this for each upstream of a service.
+        freshness = view.freshness(now_s)
         latency_ratio = (
-            self._expected_latency_s(profile, view, fallback_service_s, now_s)
+            self._expected_latency_s(
+                profile, view, fallback_service_s, freshness, now_s
+            )
             / target_s
         )
         latency_ratio *= 1 + JITTER_SHARE * self._rng.random()
@@ -193,11 +200,15 @@
         else:
             cost_s = target_s * (1 + LATE_COST_SLOPE * (latency_ratio - 1))
         if not view.load.accepting:
-            cost_s += REFUSAL_COST_FACTOR * target_s * view.freshness(now_s)
-        failure_weight = max(0.2, view.freshness(now_s))
-        cost_s += (
-            FAILURE_COST_FACTOR * target_s * view.load.failure_share * failure_weight
-        )
+            cost_s += REFUSAL_COST_FACTOR * target_s * freshness
+        if view.load.failure_share:
+            failure_weight = max(0.2, freshness)
+            cost_s += (
+                FAILURE_COST_FACTOR
+                * target_s
+                * view.load.failure_share
+                * failure_weight
+            )
         return RankedUpstream(view, cost_s, latency_ratio)
 
     def _expected_latency_s(
@@ -205,21 +216,22 @@
         profile: CallProfile,
         view: UpstreamView,
         fallback_service_s: float,
+        freshness: float,
         now_s: float,
     ) -> float:
         """Return the expected latency of a call, in seconds."""
         route = profile.route
         service_s = view.service_s.get(route.name, fallback_service_s)
-        calls_per_slot = view.in_flight(now_s) / max(1, view.load.slots)
-        # 0 up to BUSY_SHARE, 1 once all slots are busy.
-        saturation = max(0.0, min(1.0, calls_per_slot) - BUSY_SHARE) / (1 - BUSY_SHARE)
-        expected_s = service_s * (
-            1 + BUSY_SLOWDOWN * saturation + max(0.0, calls_per_slot - 1)
-        )
+        calls_per_slot = view.in_flight_at(freshness) / (view.load.slots or 1)
+        expected_s = service_s
+        if calls_per_slot > BUSY_SHARE:
+            # 0 up to BUSY_SHARE, 1 once all slots are busy.
+            saturation = (min(1.0, calls_per_slot) - BUSY_SHARE) / (1 - BUSY_SHARE)
+            expected_s *= 1 + BUSY_SLOWDOWN * saturation + max(0.0, calls_per_slot - 1)
         if view.load.wait_s:
             rank = route.rank if profile.rank is None else profile.rank
             index = min(rank, len(view.load.wait_s) - 1)
-            expected_s += view.load.wait_s[index] * view.freshness(now_s)
+            expected_s += view.load.wait_s[index] * freshness
         if view.zone != self._zone:
             expected_s += CROSS_ZONE_ROUND_TRIP_S
         if view.node != self._node:
@@ -271,9 +283,9 @@
 
     It is the mean over those that have, or else a share of the latency target.
     """
-    reported_s = [
-        view.service_s[route.name] for view in views if route.name in view.service_s
-    ]
+    name = route.name
+    times_s = [view.service_s.get(name, None) for view in views]
+    reported_s = [time_s for time_s in times_s if time_s is not None]
     if not reported_s:
         return route.target_latency_s * INITIAL_SERVICE_SHARE
     return sum(reported_s) / len(reported_s)
