Spread the returns of refused clients over the room of all asked owners

Cause: Retry-After was the shortest time that one of the asked owners expected until it has room. Clients that were refused together returned together to that owner, while the others had room that nobody used.

Change: mesh/return_time.py (pure) spreads the returns from the first owner's room to the last one's. Where all owners expect the same, or only one was asked, the time is chosen as before. The simulated service of the tests chooses it with the same function; it used the shortest time without jitter.

A returning call goes before a new one of its rank already while it is on time, as its target is earlier (request_age.py, rule 5 of admission.py); one that is late is refused on arrival if it can't be served.

--- a/gypsumlock/mesh/call_classifier.py
+++ b/gypsumlock/mesh/call_classifier.py
@@ -54,7 +54,10 @@
     lost_attempts: list[Attempt] = field(default_factory=list)
     # True while a retry has been charged to the budget, but not sent yet.
     retry_charged: bool = False
+    # Shortest and longest time after which an owner expects room, in seconds; 0 if none
+    # has told any.
     retry_after_s: float = 0.0
+    last_retry_after_s: float = 0.0
     # Latest server error; passed on if no attempt gets a better response.
     fallback_answer: Answer | None = None
     refusal_code: ResultCode = ResultCode.CALL_NO_UPSTREAM
--- a/gypsumlock/mesh/call_responder.py
+++ b/gypsumlock/mesh/call_responder.py
@@ -12,6 +12,7 @@
 from gypsumlock.mesh.call_classifier import Call
 from gypsumlock.mesh.http_messages import HttpRequest
 from gypsumlock.mesh.http_server import ServerConnection
+from gypsumlock.mesh.return_time import choose_return_s
 from gypsumlock.metrics import Metrics
 from gypsumlock.result_codes import ResultCode, get_code_entry
 
@@ -22,10 +23,7 @@
 # Retry-After in seconds when no owner gave an estimate: no upstream or no
 # configuration is available.
 DEFAULT_RETRY_AFTER_S = 0.3
-# Maximum random deviation of Retry-After in either direction, as a share of its value.
-RETRY_AFTER_JITTER = 0.25
 UNAUTHORIZED = 401
-
 TOO_MANY_REQUESTS = 429
 SERVICE_UNAVAILABLE = 503
 
@@ -61,12 +59,13 @@
         self, call: Call, connection: ServerConnection, code: ResultCode
     ) -> None:
         """Tell the client why its call was not answered, and when to return."""
-        retry_after_s = call.retry_after_s or DEFAULT_RETRY_AFTER_S
-        # Jitter keeps clients that were refused together from retrying together. A
-        # client that is over its quota has none left before the time.
-        is_over_quota = code is ResultCode.CALL_OVER_QUOTA
-        low = 0.0 if is_over_quota else -RETRY_AFTER_JITTER
-        retry_after_s *= 1 + self._rng.uniform(low, RETRY_AFTER_JITTER)
+        retry_after_s = choose_return_s(
+            call.retry_after_s or DEFAULT_RETRY_AFTER_S,
+            call.last_retry_after_s,
+            self._rng,
+            # A client that is over its quota has none left before the time.
+            may_be_earlier=code is not ResultCode.CALL_OVER_QUOTA,
+        )
         self._send_error(connection, call.request, code, retry_after_s)
         self.record_call(call, "call not answered", get_code_entry(code).http_status)
 
--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -313,6 +313,9 @@
         if outcome.retry_after_s > 0:
             current_s = call.retry_after_s or outcome.retry_after_s
             call.retry_after_s = min(current_s, outcome.retry_after_s)
+            call.last_retry_after_s = max(
+                call.last_retry_after_s, outcome.retry_after_s
+            )
 
     async def _attempt(
         self, call: Call, view: UpstreamView, late_ok: bool
--- a/tests/standins/wide_service.py
+++ b/tests/standins/wide_service.py
@@ -18,6 +18,7 @@
 from gypsumlock.mesh.model import OwnerLoad, RouteSpec, ServiceShare
 from gypsumlock.mesh.placement import CallProfile, UpstreamSelector, UpstreamView
 from gypsumlock.mesh.request_age import RequestAgeEstimator
+from gypsumlock.mesh.return_time import choose_return_s
 from gypsumlock.mesh.ticket import Ticket, TicketState
 
 __all__ = ["ClassLoad", "WideService"]
@@ -102,7 +103,8 @@
     # Owners still to be asked in this round of offers.
     candidates: list[UpstreamView] = field(default_factory=list)
     offers: int = 0
-    retry_after_s: float = float("inf")
+    # Times that the owners told after which they expect room.
+    room_after_s: list[float] = field(default_factory=list)
     returned: bool = False
 
 
@@ -223,7 +225,7 @@
             if state is TicketState.WAITING:
                 upstream.waiting[ticket] = call
                 return
-            call.retry_after_s = min(call.retry_after_s, decision.retry_after_s)
+            call.room_after_s.append(decision.retry_after_s)
             self._record_outcome(call, upstream, now_s)
 
     def _make_ticket(self, call: SimulatedCall) -> Ticket:
@@ -286,7 +288,9 @@
         """Count a refusal; the client returns once after the time it was told."""
         if not call.returned:
             left_s = call.deadline_at_s - now_s
-            delay_s = min(call.retry_after_s, MAX_RETURN_SHARE * left_s)
+            first_s, last_s = min(call.room_after_s), max(call.room_after_s)
+            return_s = choose_return_s(first_s, last_s, self.rng)
+            delay_s = min(return_s, MAX_RETURN_SHARE * left_s)
             self._schedule(now_s + delay_s, lambda at_s: self._return(call, at_s))
             return
         self.refused[call.load.rank] += 1
