Refuse uploads that others keep from arriving in time

Cause: uploads that began together were all accepted for a link that had room for few of them.

Change: mesh/upload_time.py (pure) expects the time of a body on the links of both machines. Behind others that keep it from arriving in half of the time left, it is not offered to the owner; if no owner is left the call is refused as not run. The time on the way is taken off the target and the deadline that the owner gets. Bodies that are sent separately count as pending on the link from the offer on.

--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -34,12 +34,15 @@
     CallRequest,
     ClientLimits,
     Failure,
+    OwnerLoad,
     Refusal,
 )
+from gypsumlock.mesh.pacer import CHUNK_BYTES
 from gypsumlock.mesh.placement import CallProfile, UpstreamSelector, UpstreamView
 from gypsumlock.mesh.recent_table import RecentTable
 from gypsumlock.mesh.retry_budget import RetryBudgets
 from gypsumlock.mesh.state import MeshState
+from gypsumlock.mesh.upload_time import UploadTime
 from gypsumlock.metrics import Metrics
 from gypsumlock.result_codes import ResultCode
 from gypsumlock.rollout.version_choice import merge_tiers, version_tiers
@@ -274,7 +277,14 @@
                     return None
                 if not self._revocation.may_send(call):
                     return None
-                outcome = await self._attempt(call, view, late_ok)
+                upload = self._upload_time(call, view)
+                if upload is not None and upload.is_refused(left_s):
+                    code = ResultCode.CALL_OVERLOADED
+                    refusal = Refusal(0, code, upload.total_s, False, OwnerLoad())
+                    self._record_refusal(call, refusal)
+                    continue
+                transfer_s = upload.deduction_s(left_s) if upload is not None else 0.0
+                outcome = await self._attempt(call, view, late_ok, transfer_s)
                 if not isinstance(outcome, Refusal) or outcome.rejected_by_upstream:
                     self._record_sent(call, view)
                     in_time = self._loop.time() <= call.target_at_s
@@ -318,7 +328,7 @@
             )
 
     async def _attempt(
-        self, call: Call, view: UpstreamView, late_ok: bool
+        self, call: Call, view: UpstreamView, late_ok: bool, transfer_s: float
     ) -> CallOutcome:
         now_s = self._loop.time()
         request = CallRequest(
@@ -331,8 +341,9 @@
             target_s=call.route.target_latency_s,
             late_ok=late_ok,
             response_bytes=self._expected_transfer_bytes(call, view),
-            target_left_s=call.target_at_s - now_s,
-            deadline_left_s=call.deadline_at_s - now_s,
+            # The owner counts both from the arrival of the request.
+            target_left_s=call.target_at_s - now_s - transfer_s,
+            deadline_left_s=call.deadline_at_s - now_s - transfer_s,
             method=call.request.method,
             target=call.request.target,
             headers=call.headers,
@@ -372,6 +383,15 @@
         )
         return outcome
 
+    def _upload_time(self, call: Call, view: UpstreamView) -> UploadTime | None:
+        """Return the time of a large body on the way to an owner; None for others."""
+        body_bytes = len(call.request.body)
+        if view.node == self._state.node or body_bytes <= CHUNK_BYTES:
+            return None
+        queue_s = self._state.pacer.egress_delay_s()
+        own_s = self._state.link_meter.transmission_s(body_bytes)
+        return UploadTime(body_bytes, queue_s, own_s, view.link_mbps)
+
     def _expected_transfer_bytes(self, call: Call, view: UpstreamView) -> int:
         """Return the number of bytes that the owner's link is expected to carry."""
         if view.node == self._state.node:
--- a/gypsumlock/mesh/caller_protocol.py
+++ b/gypsumlock/mesh/caller_protocol.py
@@ -27,7 +27,6 @@
     peer_lost_failure,
     peer_unreachable_refusal,
 )
-from gypsumlock.mesh.pacer import Pacer
 from gypsumlock.mesh.quota_messages import Grant
 from gypsumlock.mesh.recent_table import RecentTable
 from gypsumlock.mesh.request_body import BodyChunk, BodyRequest, OutgoingBody
@@ -115,15 +114,12 @@
         Counts the bytes written to the machine's network link.
     memory : MemoryAccount | None
         Counts the parts of answers that have arrived; None for an account of its own.
-    pacer : Pacer | None
-        Schedules the chunks of large bodies on the link; None for one of its own.
     """
 
     __slots__ = (
         "_body_tasks",
         "_given_up",
         "_listener",
-        "_pacer",
         "_ping_sent_at_s",
         "on_grant",
         "pending",
@@ -136,11 +132,9 @@
         listener: ProtocolListener,
         meter: LinkMeter,
         memory: MemoryAccount | None = None,
-        pacer: Pacer | None = None,
     ) -> None:
         super().__init__(meter, memory)
         self._listener = listener
-        self._pacer = pacer or Pacer(meter)
         # Request bodies that are being sent.
         self._body_tasks: set[asyncio.Task[None]] = set()
         self.pending: dict[int, PendingCall] = {}
@@ -192,7 +186,8 @@
         def write(chunk: bytes) -> bool:
             return number in self.pending and self.send(BodyChunk(number, chunk))
 
-        task = self.loop.create_task(pending.outgoing_body.send(self._pacer, write))
+        body = pending.outgoing_body
+        task = self.loop.create_task(body.send(self.loop.time(), write))
         self._body_tasks.add(task)
         task.add_done_callback(self._body_tasks.discard)
 
--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -125,8 +125,6 @@
             transfer_s = self._state.pacer.egress_delay_s(request.response_bytes)
         if transfer_s * DEADLINE_MARGIN_FACTOR > request.deadline_left_s:
             return self._refuse(request, ResultCode.CALL_OVERLOADED, transfer_s)
-        # A body that is still to be sent takes time before the call can start.
-        transfer_s += self._state.link_meter.transmission_s(request.body_bytes)
         ticket = Ticket(
             route=request.route,
             rank=request.rank,
--- a/gypsumlock/mesh/peer_connection.py
+++ b/gypsumlock/mesh/peer_connection.py
@@ -32,7 +32,7 @@
 )
 from gypsumlock.mesh.pacer import Pacer
 from gypsumlock.mesh.quota_messages import Grant, GrantRequest
-from gypsumlock.mesh.request_body import split_off_body
+from gypsumlock.mesh.request_body import OutgoingBody, split_off_body
 from gypsumlock.result_codes import ResultCode
 from gypsumlock.rollout.messages import VersionReport, VersionVerdict
 
@@ -89,7 +89,7 @@
     ) -> None:
         self.address = address
         self._meter = meter
-        self._pacer = pacer
+        self._pacer = pacer or Pacer(meter)
         self._memory = memory
         self._protocol: CallerProtocol | None = None
         # Silent connections on which calls still wait for their responses.
@@ -129,6 +129,21 @@
             Records whether the other node has received the call.
         """
         attempt = attempt or Attempt(self.address, request)
+        now_s = asyncio.get_running_loop().time()
+        body = split_off_body(request, now_s, self._pacer)
+        try:
+            return await self._call(request, may_fail_over, attempt, body)
+        finally:
+            if body is not None:
+                body.discard()
+
+    async def _call(
+        self,
+        request: CallRequest,
+        may_fail_over: Callable[[], bool],
+        attempt: Attempt,
+        body: OutgoingBody | None,
+    ) -> CallOutcome:
         protocol = self._protocol or await self._connect()
         if protocol is None:
             return peer_unreachable_refusal(ResultCode.CALL_UPSTREAM_UNREACHABLE)
@@ -139,11 +154,7 @@
             # The connection was idle, not silent, before this call.
             protocol.last_received_s = protocol.loop.time()
         protocol.pending[number] = PendingCall(
-            future,
-            request.repeatable,
-            may_fail_over,
-            attempt,
-            split_off_body(request, protocol.loop.time()),
+            future, request.repeatable, may_fail_over, attempt, body
         )
         attempt.is_with_owner = True
         if not protocol.send(request):
@@ -256,9 +267,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, protocol = await loop.create_connection(
-                    lambda: CallerProtocol(
-                        self, self._meter, self._memory, self._pacer
-                    ),
+                    lambda: CallerProtocol(self, self._meter, self._memory),
                     host,
                     int(port),
                 )
--- a/gypsumlock/mesh/request_body.py
+++ b/gypsumlock/mesh/request_body.py
@@ -56,6 +56,9 @@
 class OutgoingBody:
     """A body that the caller's node sends when the owner requests it.
 
+    It counts as pending on the link from the start, so that further uploads are
+    refused if they would have to wait for it too long.
+
     Parameters
     ----------
     body : bytes
@@ -64,26 +67,58 @@
         Rank of the call.
     target_at_s : float
         Monotonic time at which the latency target of the call ends.
+    pacer : Pacer
+        Schedules the chunks of large bodies on the link.
     """
 
-    __slots__ = ("body", "is_sent", "rank", "target_at_s")
-
-    def __init__(self, body: bytes, rank: int, target_at_s: float) -> None:
-        self.body = body
-        self.rank = rank
-        self.target_at_s = target_at_s
+    __slots__ = (
+        "_body",
+        "_pacer",
+        "_pending_bytes",
+        "_rank",
+        "_target_at_s",
+        "is_sent",
+    )
+
+    def __init__(
+        self, body: bytes, rank: int, target_at_s: float, pacer: Pacer
+    ) -> None:
+        self._body = body
+        self._rank = rank
+        self._target_at_s = target_at_s
+        self._pacer = pacer
+        self._pending_bytes = len(body)
+        pacer.add_pending(len(body))
         # True once the last chunk may have been written.
         self.is_sent = False
 
-    async def send(self, pacer: Pacer, write: Callable[[bytes], bool]) -> None:
-        """Write all chunks in turn with other large bodies; stop if one fails."""
-        left_bytes = len(self.body)
-        for chunk in split_into_chunks(self.body):
-            await pacer.wait_turn(self.rank, self.target_at_s)
-            left_bytes -= len(chunk)
-            self.is_sent = left_bytes == 0
+    async def send(self, now_s: float, write: Callable[[bytes], bool]) -> None:
+        """Write all chunks; stop if one fails.
+
+        They take turns with other large bodies, unless the link as the settings
+        describe it would take longer than the call has left: it may be faster.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time.
+        write : Callable[[bytes], bool]
+            Writes a chunk; returns False if that is not possible any more.
+        """
+        is_paced = now_s + self._pacer.egress_delay_s() < self._target_at_s
+        for chunk in split_into_chunks(self._body):
+            if is_paced:
+                await self._pacer.wait_turn(self._rank, self._target_at_s)
+            self.is_sent = self._pending_bytes == len(chunk)
             if not write(chunk):
                 return
+            self._pacer.remove_pending(len(chunk))
+            self._pending_bytes -= len(chunk)
+
+    def discard(self) -> None:
+        """Count what was not written as pending no longer."""
+        self._pacer.remove_pending(self._pending_bytes)
+        self._pending_bytes = 0
 
 
 class IncomingBody:
@@ -117,11 +152,13 @@
         return await self._received
 
 
-def split_off_body(request: CallRequest, now_s: float) -> OutgoingBody | None:
+def split_off_body(
+    request: CallRequest, now_s: float, pacer: Pacer
+) -> OutgoingBody | None:
     """Take a large body out of a request; return None if the body stays there."""
     body = request.body
     if len(body) < MIN_SEPARATE_BODY_BYTES:
         return None
     request.body_bytes = len(body)
     request.body = b""
-    return OutgoingBody(body, request.rank, now_s + request.target_left_s)
+    return OutgoingBody(body, request.rank, now_s + request.target_left_s, pacer)
