--- a/gypsumlock/rollout/judgement.py
+++ b/gypsumlock/rollout/judgement.py
@@ -38,14 +38,12 @@
 MIN_BAD = 2
 # Smallest rate of bad answers assumed of the established version. A lower one would
 # condemn a version for a few failures that any upstream has.
-MIN_BASE_RATE = 0.02
+MIN_BASE_RATES = {"error": 0.012, "slow": 0.03}
 MAX_BASE_RATE = 0.9
 # Answers of the established version on a route from which on its median is used.
 MIN_ROUTE_ANSWERS = 20
-# Answers by which the rate of a route is drawn towards that of all routes.
+# Answers by which the rate of a route or an upstream is drawn towards that of all.
 PRIOR_ANSWERS = 25
-# Answers of an upstream from which on it is compared with the others.
-MIN_UPSTREAM_ANSWERS = 20
 # An answer is slow from 2.8 times the median on.
 SLOW_BUCKETS = round(1.5 * BUCKETS_PER_DOUBLING)
 
@@ -121,13 +119,13 @@
         upstreams = [self.count(part) for part in parts]
         self._rates: dict[_Test, float] = {}
         for kind in (_ERROR, _SLOW):
-            rates = [
-                bad / count
-                for count, bad in (x[kind, _ALL_ROUTES] for x in upstreams)
-                if count >= MIN_UPSTREAM_ANSWERS
-            ]
             count, bad = totals[kind, _ALL_ROUTES]
             rate = bad / max(count, MIN_ROUTE_ANSWERS)
+            rates = [
+                (x[kind, _ALL_ROUTES][1] + PRIOR_ANSWERS * rate)
+                / (x[kind, _ALL_ROUTES][0] + PRIOR_ANSWERS)
+                for x in upstreams
+            ]
             if kind == _SLOW and len(rates) > 1:
                 # As slow as the second slowest machine is not conspicuous.
                 rate = max(rate, sorted(rates)[-2])
@@ -143,7 +141,7 @@
     def rate(self, test: _Test) -> float:
         """Return the rate of bad answers that is expected in a test."""
         rate = self._rates.get(test, self._rates[test[0], _ALL_ROUTES])
-        return min(MAX_BASE_RATE, max(MIN_BASE_RATE, rate))
+        return min(MAX_BASE_RATE, max(MIN_BASE_RATES[test[0]], rate))
 
     def count(self, routes: dict[str, RouteAnswers]) -> _Counts:
         """Return the numbers of answers and of bad ones for each test."""
--- a/gypsumlock/rollout/trial.py
+++ b/gypsumlock/rollout/trial.py
@@ -49,10 +49,11 @@
 MIN_RECENT_ANSWERS = 5
 # Answers that are needed from the other upstreams if one is suspect.
 MIN_ANSWERS_BESIDE_SUSPECT = 15
-# Logarithm of the likelihood ratio from which on a version is in doubt, and is rolled
-# back at the latest end of its trial: one good version in fifty for each of the tests.
+# Logarithm of the likelihood ratio from which on a version is in doubt, and the same by
+# kind from which on it is rolled back at the latest end of its trial. Machines differ
+# in speed, so that slow answers say less than errors.
 DOUBT = 2.0
-LATE_DOUBT = 4.0
+LATE_DOUBTS = {"error": 3.0, "slow": 4.5}
 
 
 class TrialDecision(Enum):
@@ -151,7 +152,7 @@
 
 def _decide_late(judgement: Judgement) -> TrialDecision:
     """Decide by what there is: a service may have few calls, or none."""
-    if judgement.evidence >= LATE_DOUBT:
+    if judgement.evidence >= LATE_DOUBTS.get(judgement.kind, DOUBT):
         return TrialDecision.ROLL_BACK_DOUBTFUL
     if judgement.suspects and judgement.answers < MIN_ANSWERS_BESIDE_SUSPECT:
         return TrialDecision.ROLL_BACK_DOUBTFUL
