--- a/gypsumlock/mesh/table_watcher.py
+++ b/gypsumlock/mesh/table_watcher.py
@@ -76,6 +76,8 @@
         self._backoff = Backoff(RETRY_BASE_S, RETRY_MAX_S)
         # True if the store no longer has all changes since the last read.
         self._history_lost = False
+        # True if it had not, either, when this was last found out.
+        self._was_lost_before = False
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -131,10 +133,16 @@
             if changes.err_value.code is ResultCode.PLATFORM_HISTORY_LOST:
                 log.info("store history lost", table=self._table)
                 self._history_lost = True
+                if self._was_lost_before:
+                    # A store that loses its history again and again is not read
+                    # without a pause.
+                    await self._wait_before_retry()
+                self._was_lost_before = True
                 return
             await self._back_off(changes.err_value)
             return
         self._mark_reachable()
+        self._was_lost_before = False
         if changes.ok_value.rows:
             self.apply_changes(changes.ok_value)
         self._cursor.advance(changes.ok_value.version)
--- a/misc/mutations.py
+++ b/misc/mutations.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from misc.client_mutations import CLIENT_MUTATIONS
 from misc.mesh_mutations import MESH_MUTATIONS
 from misc.mutation import Mutation
 from misc.report_mutations import REPORT_MUTATIONS
@@ -207,6 +208,7 @@
         "",
         "tests.test_routing.TestRetryBudget.test_retries_are_bounded_over_many_calls",
     ),
+    *CLIENT_MUTATIONS,
     *MESH_MUTATIONS,
     *REPORT_MUTATIONS,
 )
