Spread granting slots evenly, and hand them over without a gap

A node that was the first of a small fleet kept all slots, and its loss ended all parts of a quota at once (197 of 200 calls refused, in 1 of 4 runs of the test). First places are spread over the nodes, and a node with more than its share releases slots for which better candidates have appeared. The keeper takes the next step of a lease at once. Ruled out: releasing by share alone, which gives up slots whose first candidate is dead.

--- a/gypsumlock/leases/lease_keeper.py
+++ b/gypsumlock/leases/lease_keeper.py
@@ -53,7 +53,9 @@
         "_held_tokens",
         "_node",
         "_running",
+        "_seen",
         "_states",
+        "_stopped",
         "_store",
     )
 
@@ -71,10 +73,13 @@
         self._states: dict[str, LeaseState] = {}
         # Tokens as of the last check, for the log.
         self._held_tokens: dict[str, int] = {}
+        # Leases whose rows this process may have read or written.
+        self._seen: set[str] = set()
         # Leases whose last call to the store failed.
         self._failing: set[str] = set()
         # Calls to the store by lease.
         self._running: dict[str, asyncio.Task[None]] = {}
+        self._stopped = False
 
     def held(self, name: str) -> int | None:
         """Return the fencing token of a lease if this node holds it now, or None.
@@ -94,6 +99,7 @@
         state = self._states.get(name)
         if state is not None:
             state.wake()
+            self.check()
 
     async def run(self) -> None:
         """Take the steps that are due until cancelled."""
@@ -102,6 +108,7 @@
                 self.check()
                 await asyncio.sleep(CHECK_INTERVAL_S)
         finally:
+            self._stopped = True
             for task in self._running.values():
                 task.cancel()
 
@@ -110,7 +117,8 @@
         candidacies = self._candidacies()
         for name in candidacies:
             if name not in self._states:
-                self._states[name] = LeaseState(self._node)
+                may_resume = name not in self._seen
+                self._states[name] = LeaseState(self._node, may_resume=may_resume)
         now_s = self._clock()
         for name, state in list(self._states.items()):
             self._log_change(name, state.held(now_s))
@@ -122,13 +130,14 @@
                 self._running[name] = task
                 task.add_done_callback(partial(self._step_ended, name))
             elif name not in candidacies and state.idle:
+                self._seen.add(name)
                 del self._states[name]
 
     def _step_ended(self, name: str, _: asyncio.Task[None]) -> None:
         self._running.pop(name, None)
-        state = self._states.get(name)
-        if state is not None:
-            self._log_change(name, state.held(self._clock()))
+        if not self._stopped:
+            # What was read may be followed by a write at once.
+            self.check()
 
     async def _take_step(self, name: str, state: LeaseState, step: LeaseStep) -> None:
         """Call the store for a step, and record the outcome."""
--- a/gypsumlock/leases/lease_state.py
+++ b/gypsumlock/leases/lease_state.py
@@ -77,12 +77,17 @@
         Name of the node.
     duration_s : float
         Duration of the lease in seconds, for which the node acquires it.
+    may_resume : bool
+        Whether this process has not seen the row yet. A row that names this node is
+        then from an earlier process, which has ended.
     """
 
     __slots__ = (
         "_duration_s",
         "_held_until_s",
+        "_highest_token",
         "_last_call_at_s",
+        "_may_resume",
         "_must_read",
         "_next_call_at_s",
         "_node",
@@ -94,8 +99,13 @@
         "_version",
     )
 
-    def __init__(self, node: str, duration_s: float = DURATION_S) -> None:
+    def __init__(
+        self, node: str, duration_s: float = DURATION_S, may_resume: bool = True
+    ) -> None:
         self._node = node
+        self._may_resume = may_resume
+        # Highest token seen; the row may go back if the store loses writes.
+        self._highest_token = 0
         self._duration_s = duration_s
         self._row: Lease | None = None
         # None until the row was read.
@@ -154,8 +164,7 @@
             assert self._row is not None
             return LeaseStep(StepKind.RENEW, self._row, self._version)
         if self._is_vacant(now_s):
-            token = 1 if self._row is None else self._row.token + 1
-            lease = Lease(self._node, token, self._duration_s)
+            lease = Lease(self._node, self._highest_token + 1, self._duration_s)
             return LeaseStep(StepKind.ACQUIRE, lease, self._version)
         return LeaseStep(StepKind.READ)
 
@@ -212,6 +221,11 @@
             self._pending = None
         if row is None or row.holder != self._node:
             self._releasing = False
+            self._may_resume = False
+        if row is not None:
+            self._highest_token = max(self._highest_token, row.token)
+        if self._token is not None:
+            self._may_resume = False
         self._row = row
         self._version = version
         self._must_read = False
@@ -243,7 +257,9 @@
 
     def _is_vacant(self, now_s: float) -> bool:
         row = self._row
-        if row is None or not row.holder or row.holder == self._node:
+        if row is None or not row.holder:
+            return True
+        if row.holder == self._node and self._may_resume:
             # An earlier process of this node has ended.
             return True
         return now_s >= self._seen_at_s + row.duration_s + MARGIN_S
--- a/gypsumlock/quota/__init__.py
+++ b/gypsumlock/quota/__init__.py
@@ -16,11 +16,12 @@
     part_slots,
     slot_lease,
 )
-from gypsumlock.quota.slots import HolderLocator, SlotOrder, is_candidate
+from gypsumlock.quota.slots import Candidacy, HolderLocator, SlotOrder
 
 __all__ = [
     "SLOT_COUNT",
     "Balance",
+    "Candidacy",
     "GrantLedger",
     "HolderLocator",
     "Lot",
@@ -28,7 +29,6 @@
     "SlotOrder",
     "TokenBucket",
     "grant_lifetime_s",
-    "is_candidate",
     "part_count",
     "part_limit",
     "part_slots",
--- a/gypsumlock/quota/granter.py
+++ b/gypsumlock/quota/granter.py
@@ -29,7 +29,7 @@
     part_slots,
     slot_lease,
 )
-from gypsumlock.quota.slots import SlotOrder, is_candidate
+from gypsumlock.quota.slots import Candidacy, SlotOrder
 
 __all__ = ["QuotaGranter"]
 
@@ -37,9 +37,6 @@
 
 # Longest time until there will be more that is reported, in seconds.
 MAX_MORE_AFTER_S = 3600.0
-# Interval at which a node releases slots of which it is no candidate any more, in
-# seconds. The next holder has begun by then, so that few parts are away at a time.
-RELEASE_INTERVAL_S = 5.0
 # The same for a part that has moved to another slot by a newer version.
 MOVED_RETRY_S = 0.25
 
@@ -60,7 +57,7 @@
     """
 
     __slots__ = (
-        "_asked_at_s",
+        "_candidacy",
         "_clock",
         "_directory",
         "_ledgers",
@@ -68,7 +65,6 @@
         "_limits",
         "_metrics",
         "_order",
-        "_release_at_s",
         "_state",
         "_table",
         "leases",
@@ -89,10 +85,7 @@
         self.leases: LeaseKeeper | None = None
         self._order = SlotOrder()
         self._ledgers: dict[int, GrantLedger] = {}
-        # Time from which the next slot may be released.
-        self._release_at_s = float("-inf")
-        # When other nodes last asked for tokens of each slot.
-        self._asked_at_s: dict[int, float] = {}
+        self._candidacy = Candidacy()
         # Limits by slot and organisation, and the table and bounds they are from.
         self._limits: list[dict[str, PartLimit]] = [{} for _ in range(SLOT_COUNT)]
         # Names of all organisations with a limit.
@@ -112,22 +105,16 @@
         """
         self._apply_config()
         if not any(self._limits) or self._state.stopping or self.leases is None:
+            self._candidacy.reset()
             return ()
         now_s = self._clock()
         order = self.order
-        wanted = []
-        for slot in range(SLOT_COUNT):
-            is_holder = self._open_ledger(slot, now_s) is not None
-            rank = order.rank(slot, self._state.node)
-            asked_at_s = self._asked_at_s.get(slot, float("-inf"))
-            if not is_candidate(rank, is_holder, asked_at_s, now_s):
-                if not is_holder:
-                    continue
-                if now_s >= self._release_at_s:
-                    self._release_at_s = now_s + RELEASE_INTERVAL_S
-                    continue
-            wanted.append(slot_lease(slot))
-        return wanted
+        slots = range(SLOT_COUNT)
+        held = [slot for slot in slots if self._open_ledger(slot, now_s) is not None]
+        ranks = [order.rank(slot, self._state.node) for slot in slots]
+        nodes = len(self._directory.serving_nodes)
+        wanted = self._candidacy.wanted(ranks, held, nodes, now_s)
+        return [slot_lease(slot) for slot in wanted]
 
     def grant(self, request: GrantRequest) -> Grant:
         """Grant tokens if this node holds the slot; otherwise name the holder."""
@@ -137,7 +124,7 @@
         grant = Grant(request.number, slot, 0, "", int(1000 * now_s), 0.0, ())
         if slot >= SLOT_COUNT:
             return grant
-        self._asked_at_s[slot] = now_s
+        self._candidacy.record_asked(slot, now_s)
         self._apply_config()
         ledger = self._open_ledger(slot, now_s)
         if ledger is None or bounds is None:
--- a/gypsumlock/quota/slots.py
+++ b/gypsumlock/quota/slots.py
@@ -1,9 +1,11 @@
 """Which nodes try to hold a granting slot, and which node is asked for its tokens.
 
-The candidates of a slot are ordered by rendezvous hashing over the serving nodes. The
-first two always try to hold it; a later one does while other nodes ask it, which they
-do if those before it don't answer. So a slot finds a holder however many nodes are
-gone, and only two nodes for each slot call the store while all is well.
+The candidates of a slot are ordered by rendezvous hashing over the serving nodes, with
+the first two places spread evenly over the nodes: if two parts of an organisation were
+at one node, its loss would leave less than two thirds of the quota. The first two
+always try to hold the slot; a later one does while other nodes ask it, which they do if
+those before it don't answer. So a slot finds a holder however many nodes are gone, and
+only two nodes for each slot call the store while all is well.
 
 The load it is for: a fleet that starts one node after another, so that the order
 changes often; and machines that vanish while their records still say that they serve.
@@ -12,18 +14,26 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Sequence
+import math
+from collections import Counter
+from collections.abc import Collection, Sequence
 
 from gypsumlock.pair_hash import rendezvous_score
 from gypsumlock.quota.parts import SLOT_COUNT, slot_lease
 
-__all__ = ["HolderLocator", "SlotOrder", "is_candidate"]
+__all__ = ["Candidacy", "HolderLocator", "SlotOrder"]
 
 # Candidates that always try to hold a slot.
 FIRST_CANDIDATES = 2
-# Candidates further behind release a slot, so that a node which was the first one to
-# start does not keep all of them.
+# Candidates from this place on release a slot in any case.
 HOLDING_CANDIDATES = 4
+# Lead of the first candidate when the nodes begin to seek slots, in seconds.
+FIRST_LEAD_S = 0.6
+# Interval at which a node releases slots, in seconds. The next holder has begun by
+# then, so that few parts are away at a time.
+RELEASE_INTERVAL_S = 5.0
+# Time for which a node does not seek a slot that it has released, in seconds.
+ABSTENTION_S = 10.0
 # Time for which a later candidate tries after it was asked, in seconds.
 ASKED_PERIOD_S = 10.0
 # Number of nodes in the order of each slot.
@@ -44,27 +54,111 @@
 TOKEN_PERIOD_S = 20.0
 
 
-def is_candidate(
-    rank: int | None, is_holder: bool, asked_at_s: float, now_s: float
-) -> bool:
-    """Return whether a node should try to hold a slot.
-
-    Parameters
-    ----------
-    rank : int | None
-        Place in the slot's order, from 0; None if the node is not in it.
-    is_holder : bool
-        Whether the node holds the slot.
-    asked_at_s : float
-        When another node last asked it for tokens of the slot.
-    now_s : float
-        The time.
+class Candidacy:
+    """Decides which slots one node tries to hold, and which it releases.
+
+    A node that started first holds more than its share. It releases, one by one, slots
+    for which better candidates have appeared since it began to hold them, and leaves
+    each to them for a while. A slot that it holds because those before it are gone
+    stays.
     """
-    if rank is None:
-        return False
-    if is_holder and rank < HOLDING_CANDIDATES:
-        return True
-    return rank < FIRST_CANDIDATES or now_s - asked_at_s < ASKED_PERIOD_S
+
+    __slots__ = (
+        "_abstains_until_s",
+        "_asked_at_s",
+        "_first_places",
+        "_release_at_s",
+        "_since_s",
+    )
+
+    def __init__(self) -> None:
+        # When other nodes last asked for tokens of each slot.
+        self._asked_at_s: dict[int, float] = {}
+        # Slots that were released, each not sought until a time.
+        self._abstains_until_s: dict[int, float] = {}
+        # Place that the node had for each slot when it began to hold it.
+        self._first_places: dict[int, int] = {}
+        self._release_at_s = float("-inf")
+        # When the node began to seek slots; None while it does not.
+        self._since_s: float | None = None
+
+    def record_asked(self, slot: int, now_s: float) -> None:
+        """Record that another node asked for tokens of a slot."""
+        self._asked_at_s[slot] = now_s
+
+    def reset(self) -> None:
+        """Record that the node does not seek any slot."""
+        self._since_s = None
+
+    def wanted(
+        self,
+        ranks: Sequence[int | None],
+        held: Collection[int],
+        nodes: int,
+        now_s: float,
+    ) -> list[int]:
+        """Return the slots that the node should hold if it can.
+
+        Parameters
+        ----------
+        ranks : Sequence[int | None]
+            Place of the node in the order of each slot, from 0; None if it has none.
+        held : Collection[int]
+            Slots that the node holds.
+        nodes : int
+            Number of serving nodes.
+        now_s : float
+            The time.
+        """
+        if self._since_s is None:
+            self._since_s = now_s
+        released = self._next_release(ranks, held, nodes, now_s)
+        if released is not None:
+            self._release_at_s = now_s + RELEASE_INTERVAL_S
+            self._abstains_until_s[released] = now_s + ABSTENTION_S
+        return [
+            slot
+            for slot, rank in enumerate(ranks)
+            if slot != released
+            and (slot in held or self._is_candidate(slot, rank, now_s))
+        ]
+
+    def _is_candidate(self, slot: int, rank: int | None, now_s: float) -> bool:
+        if rank is None or now_s < self._abstains_until_s.get(slot, now_s):
+            return False
+        if rank == 0:
+            return True
+        if self._since_s is None or now_s - self._since_s < FIRST_LEAD_S:
+            return False
+        asked_at_s = self._asked_at_s.get(slot, float("-inf"))
+        return rank < FIRST_CANDIDATES or now_s - asked_at_s < ASKED_PERIOD_S
+
+    def _next_release(
+        self,
+        ranks: Sequence[int | None],
+        held: Collection[int],
+        nodes: int,
+        now_s: float,
+    ) -> int | None:
+        """Return the slot to release now, or None."""
+        places = {slot: _place(ranks[slot]) for slot in held}
+        self._first_places = {
+            slot: self._first_places.get(slot, place) for slot, place in places.items()
+        }
+        if now_s < self._release_at_s:
+            return None
+        share = math.ceil(SLOT_COUNT / max(1, nodes))
+        least_place = 1 if len(held) > share else HOLDING_CANDIDATES
+        releasable = [
+            slot
+            for slot, place in places.items()
+            if place >= least_place and place > self._first_places[slot]
+        ]
+        return max(releasable, key=places.__getitem__, default=None)
+
+
+def _place(rank: int | None) -> int:
+    return ORDER_LENGTH if rank is None else rank
 
 
 class SlotOrder:
@@ -95,6 +189,19 @@
             )
             for slot in range(SLOT_COUNT)
         ]
+        self._spread_first_candidates()
+
+    def _spread_first_candidates(self) -> None:
+        """Move nodes with the fewest first places to the front of each order."""
+        places: Counter[str] = Counter()
+        for place in range(FIRST_CANDIDATES):
+            for order in self._orders:
+                if len(order) > place:
+                    # Of several, the first in the order.
+                    node = min(order[place:], key=places.__getitem__)
+                    order.remove(node)
+                    order.insert(place, node)
+                    places[node] += 1
 
     def nodes(self, slot: int) -> Sequence[str]:
         """Return the first candidates of a slot, in order."""
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -137,6 +137,13 @@
         state.observe(7, Lease("n1", 3, 15.0), 100.0)
         self.assertEqual(state.next_step(100.0, True).lease, Lease("n1", 4, 15.0))
 
+    def test_own_name_in_a_row_that_went_back_is_not_taken_over_at_once(self) -> None:
+        state = LeaseState("n1")
+        state.observe(9, Lease("n2", 4, 15.0), 100.0)
+        state.observe(5, Lease("n1", 3, 15.0), 101.0)
+        self.assertIsNot(state.next_step(102.0, True).kind, StepKind.ACQUIRE)
+        self.assertEqual(state.next_step(116.6, True).lease, Lease("n1", 5, 15.0))
+
     def test_paused_holder_stops_by_itself(self) -> None:
         state = LeaseState("n1")
         state.observe(0, None, 100.0)
--- a/tests/test_quota_calls.py
+++ b/tests/test_quota_calls.py
@@ -53,7 +53,11 @@
         for number in range(4):
             host = await self.fleet.add(f"n-{number}", zone="ab"[number % 2], slots=50)
             self.use_names(host)
+            host.node.state.bounds.quota = None
         await self.fleet.wait_until_ready()
+        # All nodes know each other before they seek slots.
+        for host in self.fleet.hosts:
+            host.node.state.bounds.quota = BOUNDS
         await self.wait_for_holders()
 
     def use_names(self, host: MeshHost) -> None:
