--- a/gypsumlock/leases/lease_keeper.py
+++ b/gypsumlock/leases/lease_keeper.py
@@ -61,7 +61,9 @@
         "_held_tokens",
         "_node",
         "_running",
+        "_seen",
         "_states",
+        "_stopped",
         "_store",
         "_vacant_from_s",
     )
@@ -89,10 +91,13 @@
             store_era.subscribe(lambda: self._begin_era(store_era.number))
         # Tokens as of the last check, for the log.
         self._held_tokens: dict[str, int] = {}
+        # Leases whose rows this process may have read or written.
+        self._seen: set[str] = set()
         # Leases whose last call to the store failed.
         self._failing: set[str] = set()
         # Calls to the store by lease.
         self._running: dict[str, asyncio.Task[None]] = {}
+        self._stopped = False
 
     def _begin_era(self, era: int) -> None:
         """Hold no lease that a store which came back from a copy may have lost."""
@@ -125,6 +130,7 @@
         state = self._states.get(name)
         if state is not None:
             state.wake()
+            self.check()
 
     async def run(self) -> None:
         """Take the steps that are due until cancelled."""
@@ -133,6 +139,7 @@
                 self.check()
                 await asyncio.sleep(CHECK_INTERVAL_S)
         finally:
+            self._stopped = True
             for task in self._running.values():
                 task.cancel()
 
@@ -142,7 +149,11 @@
         for name in candidacies:
             if name not in self._states:
                 self._states[name] = LeaseState(
-                    self._node, self._duration_s, self._era, self._vacant_from_s
+                    self._node,
+                    self._duration_s,
+                    self._era,
+                    self._vacant_from_s,
+                    may_resume=name not in self._seen,
                 )
         now_s = self._clock()
         for name, state in list(self._states.items()):
@@ -155,13 +166,14 @@
                 self._running[name] = task
                 task.add_done_callback(partial(self._step_ended, name))
             elif name not in candidacies and state.idle:
+                self._seen.add(name)
                 del self._states[name]
 
     def _step_ended(self, name: str, _: asyncio.Task[None]) -> None:
         self._running.pop(name, None)
-        state = self._states.get(name)
-        if state is not None:
-            self._log_change(name, state.held(self._clock()))
+        if not self._stopped:
+            # What was read may be followed by a write at once.
+            self.check()
 
     async def _take_step(self, name: str, state: LeaseState, step: LeaseStep) -> None:
         """Call the store for a step, and record the outcome."""
--- a/gypsumlock/leases/lease_state.py
+++ b/gypsumlock/leases/lease_state.py
@@ -91,12 +91,17 @@
     vacant_from_s : float
         Time before which the lease of another holder may still run, although its row
         was lost.
+    may_resume : bool
+        Whether this process has not seen the row yet. A row that names this node is
+        then from an earlier process, which has ended.
     """
 
     __slots__ = (
         "_duration_s",
         "_held_until_s",
+        "_highest_token",
         "_last_call_at_s",
+        "_may_resume",
         "_must_read",
         "_next_call_at_s",
         "_node",
@@ -116,10 +121,14 @@
         duration_s: float = DURATION_S,
         era: int = 0,
         vacant_from_s: float = float("-inf"),
+        may_resume: bool = True,
     ) -> None:
         self._node = node
         self.era = era
         self._vacant_from_s = vacant_from_s
+        self._may_resume = may_resume
+        # Highest token seen; the row may go back if the store loses writes.
+        self._highest_token = 0
         self._duration_s = duration_s
         self._row: Lease | None = None
         # None until the row was read.
@@ -178,8 +187,7 @@
             assert self._row is not None
             return LeaseStep(StepKind.RENEW, self._row, self._version)
         if self._is_vacant(now_s):
-            last_token = 0 if self._row is None else self._row.token
-            token = max(last_token + 1, add_era(1, self.era))
+            token = max(self._highest_token + 1, add_era(1, self.era))
             lease = Lease(self._node, token, self._duration_s)
             return LeaseStep(StepKind.ACQUIRE, lease, self._version)
         return LeaseStep(StepKind.READ)
@@ -237,6 +245,11 @@
             self._pending = None
         if row is None or row.holder != self._node:
             self._releasing = False
+            self._may_resume = False
+        if row is not None:
+            self._highest_token = max(self._highest_token, row.token)
+        if self._token is not None:
+            self._may_resume = False
         self._row = row
         self._version = version
         self._must_read = False
@@ -255,6 +268,9 @@
         """
         if self._token is None:
             self._vacant_from_s = now_s + self._duration_s + MARGIN_S
+        else:
+            # A copy of the row that names this node is of the lease that it gives up.
+            self._may_resume = True
         self.era = era
         self._token = None
         self._pending = None
@@ -292,7 +308,9 @@
         row = self._row
         if now_s < self._vacant_from_s:
             return False
-        if row is None or not row.holder or row.holder == self._node:
+        if row is None or not row.holder:
+            return True
+        if row.holder == self._node and self._may_resume:
             # An earlier process of this node has ended.
             return True
         return now_s >= self._seen_at_s + row.duration_s + MARGIN_S
--- a/tests/test_quota_calls.py
+++ b/tests/test_quota_calls.py
@@ -39,8 +39,12 @@
         self.fleet = await self.enterAsyncContext(MeshFleet(quota=BOUNDS))
         self.fleet.configure(quota_config())
         for number in range(4):
-            await self.fleet.add(f"n-{number}", zone="ab"[number % 2], slots=50)
+            host = await self.fleet.add(f"n-{number}", zone="ab"[number % 2], slots=50)
+            host.node.state.bounds.quota = None
         await self.fleet.wait_until_ready()
+        # All nodes know each other before they seek slots.
+        for host in self.fleet.hosts:
+            host.node.state.bounds.quota = BOUNDS
         await self.wait_for_holders()
 
     def holder(self, slot: int) -> MeshHost | None:
