Leave scarce retries to the service whose retries succeed

Cause: the retries of a service whose calls fail because another service fails their nested calls are charged to that service's budget too. They run everything once more and mostly fail again, while the nested calls, whose retries mostly succeed, find the budget empty.

Change: mesh/retry_yield.py (pure) keeps the share of successful retries of each service. Within a second after the budget has denied a retry to one service, no retry goes to another one whose share is lower by 0.3, once ten retries of both are known.

Neutral unless a retry was denied in the last second. Nodes need not know which calls are nested.

--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -201,7 +201,13 @@
     async def _run_with_retries(self, call: Call) -> Answer | None:
         """Return the response to forward, or None if there is none."""
         while True:
+            is_retry = bool(call.sent_to)
             outcome = await self._offer_to_upstreams(call)
+            if is_retry and outcome is not None:
+                succeeded = isinstance(outcome, Answer) and (
+                    outcome.status < SERVER_ERROR
+                )
+                self._retry_budgets.yields.record_result(call.service, succeeded)
             if isinstance(outcome, Answer) and outcome.status < SERVER_ERROR:
                 return outcome
             if isinstance(outcome, Answer):
--- a/gypsumlock/mesh/retry_budget.py
+++ b/gypsumlock/mesh/retry_budget.py
@@ -16,6 +16,7 @@
 from collections import deque
 
 from gypsumlock.mesh.recent_table import RecentTable
+from gypsumlock.mesh.retry_yield import RetryYield
 
 __all__ = ["RetryBudgets"]
 
@@ -57,12 +58,14 @@
         Length of the window in seconds.
     """
 
-    __slots__ = ("_by_route", "_by_service", "_window_s")
+    __slots__ = ("_by_route", "_by_service", "_window_s", "yields")
 
     def __init__(self, window_s: float) -> None:
         self._window_s = window_s
         self._by_service: dict[str, _Attempts] = {}
         self._by_route: RecentTable[str, _Attempts] = RecentTable()
+        # How often retries succeed.
+        self.yields = RetryYield()
 
     def record_first_attempt(self, service: str, route: str, now_s: float) -> None:
         """Count the first attempt of a call that was sent to an upstream.
@@ -93,6 +96,8 @@
             This node's part of the further retries that all nodes together may send
             within a window.
         """
+        if self.yields.gives_way(service, now_s):
+            return False
         by_service, by_route = self._recent_attempts(service, route, now_s)
         nested_retries = NESTED_CALLS_PER_RETRY * self._retries_elsewhere(
             service, now_s
@@ -102,6 +107,7 @@
             by_route.unused_retries(ratio, own_allowance),
         )
         if unused_retries < 1:
+            self.yields.record_denied(service, now_s)
             return False
         by_service.retries.append(now_s)
         by_route.retries.append(now_s)
