--- a/gypsumlock/platform/endpoints.py
+++ b/gypsumlock/platform/endpoints.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TypeVar
 
 import msgspec
@@ -166,6 +167,9 @@
             log.warning("invalid heartbeat rejected", reason=decoded.err_value.text())
             return STATUS_BAD_REQUEST
         heartbeat = decoded.ok_value
+        if self._state.bounds.rollout is None:
+            # Without roll-outs, nothing about versions is published.
+            heartbeat = replace(heartbeat, version="")
         if not self._state.is_known_service(heartbeat.service):
             reason = f"unknown service {heartbeat.service!r}"
             log.warning("invalid heartbeat rejected", reason=reason)
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -145,6 +145,9 @@
         self._store_address = store_address
         self.process: subprocess.Popen[bytes] | None = None
         self.sequence = 0
+        # Version of the upstream's software, and further bounds in the settings.
+        self.version = "v1"
+        self.more_bounds: dict[str, float] = {}
 
     async def start(self) -> None:
         """Start the upstream and the node."""
@@ -172,6 +175,7 @@
                     "retry_ratio": 0.2,
                     "retry_window_s": 10,
                     "retry_slack": 56,
+                    **self.more_bounds,
                 }
             },
         }
@@ -204,7 +208,12 @@
         self.sequence += 1
         body = {
             "address": self.upstream.address,
-            "info": {"service": self.service, "version": "v1", "zone": "a", "slots": 4},
+            "info": {
+                "service": self.service,
+                "version": self.version,
+                "zone": "a",
+                "slots": 4,
+            },
             "status": {"state": state, "sequence": self.sequence, "cold_left_s": 0},
             "born": born_ms,
         }
@@ -297,9 +306,17 @@
         document = {"version": f"r{version}", "resources": resources}
         self.store.put("op", "config", json.dumps(document).encode())
 
-    async def add_node(self, name: str, service: str = "finder") -> PlatformNode:
+    async def add_node(
+        self,
+        name: str,
+        service: str = "finder",
+        version: str = "v1",
+        more_bounds: dict[str, float] | None = None,
+    ) -> PlatformNode:
         """Add a node and start it with its upstream."""
         node = PlatformNode(self._directory, name, service, self._store_address)
+        node.version = version
+        node.more_bounds = more_bounds or {}
         self.nodes.append(node)
         await node.start()
         return node
--- a/tests/test_rollout_path.py
+++ b/tests/test_rollout_path.py
@@ -4,11 +4,17 @@
 
 import asyncio
 import random
+import tempfile
 import time
 import unittest
+from collections.abc import Awaitable, Callable
+from pathlib import Path
 
 import msgspec
 
+from gypsumlock.leases import LEASE_TABLE
+from gypsumlock.mesh.model import UpstreamRecord
+from gypsumlock.mesh.record_watcher import RECORD_TABLE
 from gypsumlock.mesh.state import RolloutBounds
 from tests.standins.mesh_fleet import MeshFleet, MeshHost, make_config
 from tests.standins.mesh_upstream import (
@@ -17,6 +23,11 @@
     answer_error,
     answer_ok,
 )
+from tests.standins.users_platform import (
+    PlatformNode,
+    UsersPlatform,
+    route_resource,
+)
 
 BOUNDS = RolloutBounds(exposure_share=0.1, exposure_allowance=50, rollback_s=5.0)
 DURATION_S = 9.0
@@ -160,3 +171,70 @@
             lambda: self.status() == {"state": "completed", "to": "v2"}, 25.0
         )
         self.assertEqual(sum(host.upstream.running for host in self.old), 0)
+
+
+class TestRolloutOfProcesses(unittest.IsolatedAsyncioTestCase):
+    """Node processes with the settings, heartbeats and rows of the platform."""
+
+    async def asyncSetUp(self) -> None:
+        directory = self.enterContext(tempfile.TemporaryDirectory())
+        self.platform = await self.enterAsyncContext(UsersPlatform(Path(directory)))
+        self.platform.configure(3, route_resource("search", "finder"))
+
+    async def add(
+        self, name: str, version: str, has_bounds: bool = True
+    ) -> PlatformNode:
+        """Start a node with its upstream."""
+        bounds = {"exposure_share": 0.1, "exposure_slack": 50, "rollback_s": 5}
+        bounds = bounds if has_bounds else {}
+        node = await self.platform.add_node(name, version=version, more_bounds=bounds)
+        await self.wait_until(node.is_ready)
+        self.assertEqual(await node.send_heartbeat(), STATUS_OK)
+        return node
+
+    async def wait_until(
+        self, condition: Callable[[], Awaitable[bool]], timeout_s: float = 20.0
+    ) -> None:
+        async with asyncio.timeout(timeout_s):
+            while not await condition():
+                await asyncio.sleep(0.1)
+
+    async def test_order_moves_the_service(self) -> None:
+        """Guards against parts that are not connected in the process of a node."""
+        old = await self.add("old", "v1")
+
+        async def is_served() -> bool:
+            return (await old.call(1)).status == STATUS_OK
+
+        await self.wait_until(is_served)
+        new = await self.add("new", "v2")
+        for number in range(2, 22):
+            self.assertEqual((await new.call(number)).status, STATUS_OK)
+        self.assertEqual(new.upstream.calls, [])
+        order = {"service": "finder", "to": "v2", "duration_s": 8.0}
+        self.platform.store.put("op", "rollout/finder", msgspec.json.encode(order))
+
+        async def is_completed() -> bool:
+            row = self.platform.store.tables["status"].get("rollout/finder")
+            value = row.value if row else None
+            return bool(value) and msgspec.json.decode(value or b"") == {
+                "state": "completed",
+                "to": "v2",
+            }
+
+        await self.wait_until(is_completed)
+        self.assertEqual((await old.call(30)).status, STATUS_OK)
+        self.assertEqual(len(new.upstream.calls), 1)
+
+    async def test_nothing_is_published_of_versions_without_bounds(self) -> None:
+        """Guards against new behaviour where the settings do not ask for it."""
+        await self.add("plain", "v1", has_bounds=False)
+
+        async def is_published() -> bool:
+            return "plain" in self.platform.store.tables[RECORD_TABLE]
+
+        await self.wait_until(is_published)
+        value = self.platform.store.tables[RECORD_TABLE]["plain"].value
+        record = msgspec.json.decode(value or b"", type=UpstreamRecord)
+        self.assertEqual((record.version, record.rollouts), ("", ()))
+        self.assertEqual(dict(self.platform.store.tables[LEASE_TABLE]), {})
