--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -157,6 +157,9 @@
         self.sequence = 0
         # Limits of the machine, as the settings name them; none by default.
         self.limits: dict[str, float] = {}
+        # Version of the upstream's software, and further bounds in the settings.
+        self.version = "v1"
+        self.more_bounds: dict[str, float] = {}
 
     async def start(self) -> None:
         """Start the upstream and the node."""
@@ -185,6 +188,7 @@
                     "retry_ratio": 0.2,
                     "retry_window_s": 10,
                     "retry_slack": 56,
+                    **self.more_bounds,
                 }
             },
         }
@@ -217,7 +221,12 @@
         self.sequence += 1
         body = {
             "address": self.upstream.address,
-            "info": {"service": self.service, "version": "v1", "zone": "a", "slots": 4},
+            "info": {
+                "service": self.service,
+                "version": self.version,
+                "zone": "a",
+                "slots": 4,
+            },
             "status": {"state": state, "sequence": self.sequence, "cold_left_s": 0},
             "born": born_ms,
         }
@@ -316,10 +325,14 @@
         name: str,
         service: str = "finder",
         limits: dict[str, float] | None = None,
+        version: str = "v1",
+        more_bounds: dict[str, float] | None = None,
     ) -> PlatformNode:
         """Add a node, on a machine with some limits, and start it with its upstream."""
         node = PlatformNode(self._directory, name, service, self._store_address)
         node.limits = limits or {}
+        node.version = version
+        node.more_bounds = more_bounds or {}
         self.nodes.append(node)
         await node.start()
         return node
--- a/tests/test_quota_calls.py
+++ b/tests/test_quota_calls.py
@@ -25,7 +25,7 @@
 
 def key_headers(name: str) -> dict[str, str]:
     """Return the credentials of an organisation, whose name is also its key."""
-    return {"Authorization": f"Bearer {name}"}
+    return {"Authorization": f"Bearer {name}"} if name else {}
 
 
 def quota_config(version: int = 1) -> MeshConfig:
@@ -98,7 +98,7 @@
         self.assertGreater(float(min(self.retry_after)), 0.0)
         asks = self.count("quota.asks")
         self.assertEqual(await self.send("free", 20, 0.0, hosts), Counter({200: 20}))
-        self.assertEqual(await self.send("", 20, 0.0, hosts), Counter({200: 20}))
+        self.assertEqual(await self.send("", 20, 0.0, hosts), Counter({401: 20}))
         self.assertEqual(self.count("quota.asks"), asks)
 
     async def test_refused_call_is_refunded(self) -> None:
