--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -108,6 +108,23 @@
         for host in self.fleet.hosts:
             self.assertEqual(host.node.directory.upstream_count, 3)
 
+    # The owner can't write its record again yet, but its upstream serves.
+    async def test_record_that_the_copy_lacks_stays_in_use(self) -> None:
+        self.fleet.store.copy()
+        late = await self.fleet.add("n-3")
+        await self.fleet.wait_until_ready()
+        await until(lambda: self.stored(late) is not None)
+        late.store.disconnected = True
+        await self.restore()
+        feeds = [host.node.feed for host in self.hosts]
+        await until(
+            lambda: all(era_of(x.records_cursor.synced_version) == 2 for x in feeds)
+        )
+        for host in self.hosts:
+            self.assertEqual(host.node.directory.upstream_count, 3)
+        late.store.disconnected = False
+        await until(lambda: self.stored(late) is not None)
+
     async def test_departure_that_was_lost_is_written_again(self) -> None:
         host = self.hosts[1]
         self.fleet.store.copy()
