--- a/tests/test_quota_calls.py
+++ b/tests/test_quota_calls.py
@@ -147,6 +147,24 @@
         self.assertEqual(statuses, Counter({200: 50}))
 
 
+class TestAddedQuota(QuotaTestCase):
+    """Guards against limits that have no effect until nodes are restarted."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = await self.enterAsyncContext(MeshFleet(quota=BOUNDS))
+        self.fleet.configure(make_config())
+        for number in range(3):
+            await self.fleet.add(f"n-{number}", slots=50)
+        await self.fleet.wait_until_ready()
+
+    async def test_version_that_adds_organisations(self) -> None:
+        self.fleet.configure(quota_config(version=2))
+        await self.wait_for_holders()
+        statuses = await self.send("small", 40, 0.02, self.fleet.hosts)
+        # Nodes that have not found the holders yet may refuse calls with 503.
+        self.assertLessEqual({200, 429}, set(statuses))
+
+
 class TestWithoutQuota(unittest.IsolatedAsyncioTestCase):
     """Guards against an effect where no quota is configured."""
 
