--- a/gypsumlock/mesh/attempt.py
+++ b/gypsumlock/mesh/attempt.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from gypsumlock.mesh.model import CallRequest
+from gypsumlock.mesh.request_body import OutgoingBody
 
 __all__ = ["Attempt"]
 
@@ -24,11 +25,13 @@
         The call as the owner receives it.
     """
 
-    __slots__ = ("is_refused", "is_with_owner", "node", "request")
+    __slots__ = ("is_refused", "is_with_owner", "node", "outgoing_body", "request")
 
     def __init__(self, node: str, request: CallRequest) -> None:
         self.node = node
         self.request = request
+        # A body that is sent separately; the call can't run without all of it.
+        self.outgoing_body: OutgoingBody | None = None
         # True once the owner may have received the call.
         self.is_with_owner = False
         # True once the owner has stated that the call did not run and never will.
@@ -37,4 +40,6 @@
     @property
     def may_have_run(self) -> bool:
         """Return whether an upstream may have received the call."""
-        return self.is_with_owner and not self.is_refused
+        body = self.outgoing_body
+        is_complete = body is None or body.is_sent
+        return self.is_with_owner and is_complete and not self.is_refused
--- a/gypsumlock/mesh/caller_protocol.py
+++ b/gypsumlock/mesh/caller_protocol.py
@@ -72,8 +72,6 @@
         It may have run, unless its body was not sent completely.
         """
         if self.outgoing_body is not None and not self.outgoing_body.is_sent:
-            if self.attempt is not None:
-                self.attempt.is_refused = True
             code = ResultCode.CALL_UPSTREAM_UNREACHABLE
             self.resolve(peer_unreachable_refusal(code))
         else:
--- a/gypsumlock/mesh/peer_connection.py
+++ b/gypsumlock/mesh/peer_connection.py
@@ -131,6 +131,7 @@
         attempt = attempt or Attempt(self.address, request)
         now_s = asyncio.get_running_loop().time()
         body = split_off_body(request, now_s, self._pacer)
+        attempt.outgoing_body = body
         try:
             return await self._call(request, may_fail_over, attempt, body)
         finally:
--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -75,6 +75,12 @@
             self.assertEqual(await self.upload(), 503)
         self.assertEqual(self.owner.upstream.calls, [])
 
+    # A call whose body is still on the way at its deadline can't have run.
+    async def test_body_on_the_way_at_the_deadline(self) -> None:
+        with mock.patch.object(CallerProtocol, "_send_body"):
+            self.assertEqual(await self.upload(deadline_ms=400), 503)
+        self.assertEqual(self.owner.upstream.calls, [])
+
     async def test_memory_is_released(self) -> None:
         await self.upload()
         await asyncio.sleep(0.05)
