Mend what the review of the new parts found

Each was shown by a script of a reviewer who had not written the code: - two holders of a lease after the store came back from a copy: a holder whose lease had run out, and a process that starts after it, wait like the others - an order of a roll-out with a version of a new era was carried out again - a node of an earlier release would have executed a large call without its body: bodies are sent separately only to nodes whose records say that they request them - an upstream counted as retired while it was at work on calls that were given up - settings that no longer bound roll-outs froze the versions in use - a call that was withdrawn during its upload still ran - the strict bound on removed keys was checked on arrival only - uploads with little time until their target were written without turns - completed could be written before the owners reported to a new conductor - connections with an upload in progress were closed before silent ones - repeated loss of history was retried without a pause; a write that met a new era failed an assertion; a second request for a body sent it again

--- a/gypsumlock/leases/lease_keeper.py
+++ b/gypsumlock/leases/lease_keeper.py
@@ -27,6 +27,8 @@
 log = get_logger(Component.NODE)
 
 LEASE_TABLE = "gypsumlock-leases"
+# Era of a store that has never come back from a copy.
+FIRST_ERA = 1
 # Interval at which the leases are checked for a step that is due, in seconds.
 CHECK_INTERVAL_S = 0.25
 
@@ -50,6 +52,8 @@
         Duration of the leases, in seconds.
     store_era : StoreEra | None
         Tells when the store has come back from a copy; None if it never does.
+    fleet_start : bool
+        Whether the whole fleet starts for the first time, so that no lease is held.
     """
 
     __slots__ = (
@@ -58,6 +62,7 @@
         "_duration_s",
         "_era",
         "_failing",
+        "_fleet_start",
         "_held_tokens",
         "_node",
         "_running",
@@ -76,7 +81,9 @@
         clock: Callable[[], float] = boot_time_s,
         duration_s: float = DURATION_S,
         store_era: StoreEra | None = None,
+        fleet_start: bool = False,
     ) -> None:
+        self._fleet_start = fleet_start
         self._duration_s = duration_s
         self._store = store
         self._node = node
@@ -102,10 +109,10 @@
     def _begin_era(self, era: int) -> None:
         """Hold no lease that a store which came back from a copy may have lost."""
         was_known, self._era = self._era > 0, era
-        if not was_known:
-            # The first answer of the store: nothing is known to be lost.
-            for state in self._states.values():
-                state.era = era
+        for state in self._states.values():
+            state.era = era
+        if not was_known and (era <= FIRST_ERA or self._fleet_start):
+            # Nothing was lost while a lease was held.
             return
         now_s = self._clock()
         self._vacant_from_s = now_s + self._duration_s + MARGIN_S
--- a/gypsumlock/leases/lease_state.py
+++ b/gypsumlock/leases/lease_state.py
@@ -211,7 +211,9 @@
     def write_done(self, version: int, now_s: float) -> None:
         """Record that the write took effect, as the given version of the row."""
         pending = self._pending
-        assert pending is not None
+        if pending is None:
+            # A new era of the store has begun meanwhile; the row is read again.
+            return
         self.observe(version, pending.lease, now_s)
 
     def observe(self, version: int, row: Lease | None, now_s: float) -> None:
@@ -266,7 +268,8 @@
         now_s : float
             The time.
         """
-        if self._token is None:
+        if self.held(now_s) is None:
+            # Another node may have taken the lease in what was lost.
             self._vacant_from_s = now_s + self._duration_s + MARGIN_S
         else:
             # A copy of the row that names this node is of the lease that it gives up.
--- a/gypsumlock/mesh/connection_table.py
+++ b/gypsumlock/mesh/connection_table.py
@@ -77,6 +77,15 @@
         self._unproven.pop(connection, None)
         self._idle.pop(connection, None)
 
+    def mark_reading(self, connection: ConnectionT) -> None:
+        """Record that a connection has sent the complete head of a request.
+
+        It is kept longer than one that has sent nothing.
+        """
+        if connection in self._unproven:
+            del self._unproven[connection]
+            self._idle[connection] = None
+
     def mark_idle(self, connection: ConnectionT) -> None:
         """Record that the last request of a connection was answered."""
         if connection in self.connections:
--- a/gypsumlock/mesh/directory.py
+++ b/gypsumlock/mesh/directory.py
@@ -129,7 +129,12 @@
             attempt.is_with_owner = True
             return await self._owner.run_call(attempt.request)
         connection = self.connection_to(view.node)
-        return await connection.call(attempt.request, may_fail_over, attempt)
+        return await connection.call(
+            attempt.request,
+            may_fail_over,
+            attempt,
+            self._records[view.node].requests_bodies,
+        )
 
     def withdraw(self, attempt: Attempt) -> None:
         """Ask the owner to refuse a call if it has not reached the upstream yet."""
--- a/gypsumlock/mesh/fleet_feed.py
+++ b/gypsumlock/mesh/fleet_feed.py
@@ -252,4 +252,7 @@
             # A terminated conductor's row may be hidden by a newer one of its address.
             everything = [row.record for row in self.records.values()]
             self._state.versions.update(records, everything)
+        elif self._state.versions.services:
+            # Reloaded settings no longer bound roll-outs: versions are ignored.
+            self._state.versions.update((), ())
         self._directory.update({x.node: x for x in records})
--- a/gypsumlock/mesh/key_revocation.py
+++ b/gypsumlock/mesh/key_revocation.py
@@ -57,6 +57,8 @@
 
         A call on a public route loses its organisation together with its key.
         """
+        if call.key_digest and self._state.is_config_outdated():
+            return False
         if not self._is_revoked(call):
             return True
         if not call.route.public:
@@ -68,7 +70,11 @@
 
     def refusal_code(self, call: Call) -> ResultCode:
         """Return the code with which a call that was not executed is answered."""
-        if call.sent_to or call.route.public or not self._is_revoked(call):
+        if call.sent_to:
+            return call.refusal_code
+        if call.key_digest and self._state.is_config_outdated():
+            return ResultCode.CALL_CONFIG_OUTDATED
+        if call.route.public or not self._is_revoked(call):
             return call.refusal_code
         return ResultCode.CALL_UNKNOWN_KEY
 
--- a/gypsumlock/mesh/model.py
+++ b/gypsumlock/mesh/model.py
@@ -256,6 +256,9 @@
     retired: bool = False
     # Decisions on roll-outs; only the conductor's record has any.
     rollouts: tuple[RolloutEntry, ...] = ()
+    # True if the node requests large bodies of calls. One of an earlier release would
+    # execute such a call without its body.
+    requests_bodies: bool = False
 
 
 class OwnerLoad(msgspec.Struct, array_like=True):
--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -18,6 +18,7 @@
     Answer,
     CallOutcome,
     CallRequest,
+    Failure,
     OwnerLoad,
     Refusal,
 )
@@ -56,6 +57,7 @@
     """
 
     __slots__ = (
+        "_abandoned_until_s",
         "_capacity",
         "_client",
         "_loop",
@@ -76,6 +78,9 @@
         # Tickets of queued calls by the `id` of their request.
         self._tickets: dict[int, Ticket] = {}
         self._sweep_timer: asyncio.TimerHandle | None = None
+        # Latest deadline of the calls that ended without a response: the upstream may
+        # be at work on them until then.
+        self._abandoned_until_s = float("-inf")
 
     def upstream_changed(self) -> None:
         """Apply what the registry now holds about the upstream."""
@@ -89,6 +94,10 @@
         """Return whether calls are in flight at the upstream or queued for it."""
         return self._queue.in_flight > 0 or self._queue.waiting > 0
 
+    def may_be_executing(self) -> bool:
+        """Return whether the upstream may be at work, also on calls given up here."""
+        return self.busy() or self._loop.time() < self._abandoned_until_s
+
     def accepting(self) -> bool:
         """Return whether other nodes should send calls here."""
         incarnation = self._state.registry.current
@@ -149,6 +158,10 @@
                 )
             if body is not None and not await self._wait_for_body(body, ticket):
                 return self._refuse(request, ResultCode.CALL_OVERLOADED, 0.0)
+            if request.deadline_left_s == EXPIRED_S:
+                # It was withdrawn while its body was on the way.
+                self._release_slot(ticket, None)
+                return self._refuse(request, ResultCode.CALL_OVERLOADED, 0.0)
         finally:
             if body is not None:
                 body.cancel()
@@ -282,6 +295,10 @@
             raise
         finally:
             now_s = self._loop.time()
+            if outcome is None or isinstance(outcome, Failure):
+                self._abandoned_until_s = max(
+                    self._abandoned_until_s, ticket.deadline_at_s
+                )
             capacity = self._capacity
             capacity.record_end(ticket, outcome, concurrency, started_at_s, now_s)
             self._queue.slots = capacity.slots
--- a/gypsumlock/mesh/peer_connection.py
+++ b/gypsumlock/mesh/peer_connection.py
@@ -113,6 +113,7 @@
         request: CallRequest,
         may_fail_over: Callable[[], bool],
         attempt: Attempt | None = None,
+        requests_bodies: bool = True,
     ) -> CallOutcome:
         """Send a call and wait for its outcome.
 
@@ -127,10 +128,15 @@
             at once.
         attempt : Attempt | None
             Records whether the other node has received the call.
+        requests_bodies : bool
+            Whether the other node requests large bodies; if not, they are sent with
+            their calls.
         """
         attempt = attempt or Attempt(self.address, request)
         now_s = asyncio.get_running_loop().time()
-        body = split_off_body(request, now_s, self._pacer)
+        body = None
+        if requests_bodies:
+            body = split_off_body(request, now_s, self._pacer)
         attempt.outgoing_body = body
         try:
             return await self._call(request, may_fail_over, attempt, body)
--- a/gypsumlock/mesh/record_publisher.py
+++ b/gypsumlock/mesh/record_publisher.py
@@ -111,6 +111,7 @@
             link_mbps=state.link_mbps,
             departures=state.registry.departures(),
             rollouts=state.rollouts,
+            requests_bodies=True,
         )
         incarnation = state.registry.current
         if incarnation is None:
--- a/gypsumlock/mesh/request_body.py
+++ b/gypsumlock/mesh/request_body.py
@@ -65,14 +65,16 @@
         The body.
     rank : int
         Rank of the call.
-    target_at_s : float
-        Monotonic time at which the latency target of the call ends.
+    target_at_s, deadline_at_s : float
+        Monotonic times at which the latency target and the time of the call end.
     pacer : Pacer
         Schedules the chunks of large bodies on the link.
     """
 
     __slots__ = (
         "_body",
+        "_deadline_at_s",
+        "_is_started",
         "_pacer",
         "_pending_bytes",
         "_rank",
@@ -81,11 +83,18 @@
     )
 
     def __init__(
-        self, body: bytes, rank: int, target_at_s: float, pacer: Pacer
+        self,
+        body: bytes,
+        rank: int,
+        target_at_s: float,
+        deadline_at_s: float,
+        pacer: Pacer,
     ) -> None:
         self._body = body
         self._rank = rank
         self._target_at_s = target_at_s
+        self._deadline_at_s = deadline_at_s
+        self._is_started = False
         self._pacer = pacer
         self._pending_bytes = len(body)
         pacer.add_pending(len(body))
@@ -105,11 +114,14 @@
         write : Callable[[bytes], bool]
             Writes a chunk; returns False if that is not possible any more.
         """
-        is_paced = now_s + self._pacer.egress_delay_s() < self._target_at_s
+        if self._is_started:
+            return
+        self._is_started = True
+        is_paced = now_s + self._pacer.egress_delay_s() < self._deadline_at_s
         for chunk in split_into_chunks(self._body):
             if is_paced:
                 await self._pacer.wait_turn(self._rank, self._target_at_s)
-            self.is_sent = self._pending_bytes == len(chunk)
+            self.is_sent = self.is_sent or self._pending_bytes == len(chunk)
             if not write(chunk):
                 return
             self._pacer.remove_pending(len(chunk))
@@ -161,4 +173,10 @@
         return None
     request.body_bytes = len(body)
     request.body = b""
-    return OutgoingBody(body, request.rank, now_s + request.target_left_s, pacer)
+    return OutgoingBody(
+        body,
+        request.rank,
+        now_s + request.target_left_s,
+        now_s + request.deadline_left_s,
+        pacer,
+    )
--- a/gypsumlock/mesh/server_connection.py
+++ b/gypsumlock/mesh/server_connection.py
@@ -195,6 +195,7 @@
 
     def head_read(self, expects_continue: bool) -> None:
         """Give the body its time, and invite it if the client waits for that."""
+        self._server.table.mark_reading(self)
         self._start_timer(self._limits().idle_timeout_s)
         if expects_continue:
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
--- a/gypsumlock/platform/daemon.py
+++ b/gypsumlock/platform/daemon.py
@@ -76,7 +76,11 @@
     store = PlatformStore(settings.store_address, state.store_era)
     granter = node.quota_granter
     granter.leases = LeaseKeeper(
-        store, settings.node, granter.refresh, store_era=state.store_era
+        store,
+        settings.node,
+        granter.refresh,
+        store_era=state.store_era,
+        fleet_start=state.fleet_start,
     )
     controllers: list[Controller] = [
         ConfigWatcher(store, node.feed, CONFIG_TABLE, CONFIG_KEY, decode_config),
--- a/gypsumlock/rollout/conductor.py
+++ b/gypsumlock/rollout/conductor.py
@@ -24,7 +24,7 @@
 from gypsumlock.rollout.judgement import Judgement
 from gypsumlock.rollout.majority import MajorityTracker
 from gypsumlock.rollout.messages import VersionReport, VersionVerdict
-from gypsumlock.rollout.order_start import first_entry, is_new_order
+from gypsumlock.rollout.order_start import first_entry, is_new_order, is_same_order
 from gypsumlock.rollout.retirement import (
     blocking_upstreams,
     is_draining,
@@ -131,6 +131,9 @@
             versions = self._table.services.get(service) or ServiceVersions()
             entry = self.entries.get(service)
             order = orders.get(service)
+            if entry is not None and order is not None and is_same_order(order, entry):
+                entry = replace(entry, order_version=order.row_version)
+                self._put(entry, "order has a version of a new era")
             if entry is not None and entry.phase in ACTIVE_PHASES:
                 if order is None:
                     self._end(entry, RolloutPhase.ROLLED_BACK, "order withdrawn")
@@ -250,6 +253,9 @@
             return
         if is_draining(evidence, entry.candidate, moment.now_s):
             return
+        if moment.now_s < self._began_s + TAKEOVER_S:
+            # The owners have not reported everything to this conductor yet.
+            return
         if entry.candidate in versions.serving:
             self._end(entry, RolloutPhase.COMPLETED, "old upstreams retired")
 
--- a/gypsumlock/rollout/order_start.py
+++ b/gypsumlock/rollout/order_start.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from gypsumlock.mesh.model import RolloutEntry, RolloutPhase
+from gypsumlock.mesh.store_era import era_of
 from gypsumlock.rollout.rows import OrderRow, StatusRow
 from gypsumlock.rollout.trial import TrialBounds, small_share
 from gypsumlock.rollout.version_table import ServiceVersions, settled_version
 
-__all__ = ["first_entry", "is_new_order"]
+__all__ = ["first_entry", "is_new_order", "is_same_order"]
 
 
 def is_new_order(
@@ -35,6 +36,19 @@
     )
 
 
+def is_same_order(order: OrderRow, entry: RolloutEntry) -> bool:
+    """Return whether an order only has another version in a new era of the store.
+
+    After the store has come back from a copy, every row has a version of the new era.
+    """
+    return (
+        era_of(order.row_version) > era_of(entry.order_version)
+        and entry.order_version > 0
+        and order.candidate == entry.candidate
+        and order.duration_s == entry.duration_s
+    )
+
+
 def first_entry(
     order: OrderRow,
     entry: RolloutEntry | None,
--- a/gypsumlock/rollout/order_watch.py
+++ b/gypsumlock/rollout/order_watch.py
@@ -108,7 +108,10 @@
         )
         if isinstance(changes, Err):
             if changes.err_value.code is ResultCode.PLATFORM_HISTORY_LOST:
-                return await self._reload_orders()
+                await self._reload_orders()
+                # Again without a pause, a store that keeps no history would be called
+                # all the time.
+                return False
             return _log_failure(changes)
         self._apply(changes.ok_value.rows)
         self._version = changes.ok_value.version
--- a/gypsumlock/rollout/reporter.py
+++ b/gypsumlock/rollout/reporter.py
@@ -67,7 +67,7 @@
     async def _tick(self) -> None:
         gate = self._state.version_gate
         now_s = boot_time_s()
-        if gate.update(self._owner.busy(), now_s):
+        if gate.update(self._owner.may_be_executing(), now_s):
             self._state.publish_needed.set()
             # The conductor waits for the last owner.
             self._next_report_s = now_s
--- a/gypsumlock/rollout/wiring.py
+++ b/gypsumlock/rollout/wiring.py
@@ -54,6 +54,7 @@
         candidates.leases,
         duration_s=LEASE_DURATION_S,
         store_era=state.store_era,
+        fleet_start=state.fleet_start,
     )
     conductor = RolloutController(store, state, node.feed, _KeptLease(keeper), rows)
     node.peer_server.report_handler = conductor
--- a/tests/test_client_bounds.py
+++ b/tests/test_client_bounds.py
@@ -88,6 +88,14 @@
         self.assertEqual(closed[8:], [f"silent-{number}" for number in range(992)])
         self.assertLessEqual({"busy", "kept"}, table.connections)
 
+    def test_upload_in_progress_outlives_silent_ones(self) -> None:
+        table: ConnectionTable[str] = ConnectionTable(3)
+        for name in ("upload", "silent"):
+            table.add(name)
+        table.mark_reading("upload")
+        closed = [table.add(f"new-{number}") for number in range(4)]
+        self.assertNotIn("upload", closed)
+
     def test_new_connection_is_closed_if_all_are_busy(self) -> None:
         table: ConnectionTable[str] = ConnectionTable(1)
         table.add("busy")
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -224,6 +224,23 @@
         # A lower token than that of the lost row would be taken for an old holder's.
         self.assertGreater(self.acquire(state, 1.1), before)
 
+    def test_holder_whose_lease_has_run_out_waits_like_others(self) -> None:
+        # Another node may have taken the lease since, and the copy may not show it.
+        state = LeaseState("n1", era=1)
+        token = self.acquire(state, 0.0)
+        state.begin_era(2, 20.0)
+        state.observe(7, Lease("n1", token, 15.0), 20.1)
+        step = state.next_step(20.1, is_candidate=True)
+        self.assertIsNot(step.kind, StepKind.ACQUIRE)
+
+    def test_write_that_meets_a_new_era_is_read_again(self) -> None:
+        state = LeaseState("n1", era=1)
+        state.observe(0, None, 0.0)
+        state.start_write(state.next_step(0.0, is_candidate=True), 0.0)
+        state.begin_era(2, 0.1)
+        state.write_done(7, 0.2)
+        self.assertIsNone(state.held(0.2))
+
     def test_others_wait_for_the_lost_lease_to_run_out(self) -> None:
         state = LeaseState("n2", era=1)
         state.begin_era(2, 1.0)
--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -6,7 +6,10 @@
 import unittest
 from unittest import mock
 
+from msgspec.structs import replace
+
 from gypsumlock.mesh.caller_protocol import CallerProtocol
+from gypsumlock.mesh.model import CallRequest
 from gypsumlock.mesh.peer_server import InboundConnection
 from gypsumlock.mesh.request_body import BodyRequest
 from tests.standins.mesh_fleet import MeshFleet, make_config
@@ -81,6 +84,30 @@
             self.assertEqual(await self.upload(deadline_ms=400), 503)
         self.assertEqual(self.owner.upstream.calls, [])
 
+    # An earlier release would execute the call without its body.
+    async def test_node_that_requests_no_bodies_gets_them_with_the_call(self) -> None:
+        directory = self.near.node.directory
+        record = directory._records["n-2"]
+        directory._records["n-2"] = replace(record, requests_bodies=False)
+        with mock.patch.object(CallerProtocol, "_send_body") as send_body:
+            self.assertEqual(await self.upload(), 200)
+        send_body.assert_not_called()
+        self.assertEqual(self.owner.upstream.calls[0].body, BODY)
+
+    # Otherwise a key stayed usable for as long as an upload takes.
+    async def test_call_that_is_withdrawn_during_its_upload_does_not_run(self) -> None:
+        owner = self.owner.node.owner
+        receive = InboundConnection._receive_body
+
+        async def withdraw(connection: InboundConnection, request: CallRequest) -> None:
+            await receive(connection, request)
+            owner.withdraw(request)
+
+        with mock.patch.object(InboundConnection, "_receive_body", withdraw):
+            self.assertEqual(await self.upload(deadline_ms=500), 503)
+        self.assertEqual(self.owner.upstream.calls, [])
+        self.assertFalse(owner.busy())
+
     async def test_memory_is_released(self) -> None:
         await self.upload()
         await asyncio.sleep(0.05)
--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -16,6 +16,7 @@
     RolloutPhase,
     UpstreamRecord,
 )
+from gypsumlock.mesh.store_era import add_era
 from gypsumlock.mesh.upstream_registry import UpstreamIncarnation, UpstreamRegistry
 from gypsumlock.platform.endpoints import decode_heartbeat
 from gypsumlock.platform.rollout import PlatformRolloutRows
@@ -239,6 +240,19 @@
         self.conductor.step({SERVICE: order}, self.statuses, (), Moment(1.0, 1000))
         self.assertNotIn(SERVICE, self.conductor.entries)
 
+    def test_ended_order_stays_ended_if_the_store_comes_back_from_a_copy(self) -> None:
+        """Guards against a bad version that gets calls again in a new era."""
+        self.step(OrderRow(SERVICE, "v2", 12.0, add_era(7, 1)), 1.0)
+        ended = replace(
+            self.conductor.entries[SERVICE], phase=RolloutPhase.ROLLED_BACK, share=0.0
+        )
+        self.conductor.entries[SERVICE] = ended
+        for era in (1, 2):
+            entry = self.step(OrderRow(SERVICE, "v2", 12.0, add_era(7, era)), 2.0)
+            self.assertIs(entry.phase, RolloutPhase.ROLLED_BACK)
+        entry = self.step(OrderRow(SERVICE, "v2", 16.0, add_era(9, 2)), 3.0)
+        self.assertIs(entry.phase, RolloutPhase.RUNNING)
+
     def test_revisions_go_on_under_the_same_token(self) -> None:
         """Guards against entries that are ignored after a late renewal of the lease."""
         entry = self.step(OrderRow(SERVICE, "v2", 12.0, 7), 1.0)
--- a/tests/test_rollout_path.py
+++ b/tests/test_rollout_path.py
@@ -238,3 +238,37 @@
         record = msgspec.json.decode(value or b"", type=UpstreamRecord)
         self.assertEqual((record.version, record.rollouts), ("", ()))
         self.assertEqual(dict(self.platform.store.tables[LEASE_TABLE]), {})
+
+
+class TestNodeInARollout(unittest.IsolatedAsyncioTestCase):
+    """What one node knows of its upstream and of versions."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = await self.enterAsyncContext(MeshFleet(rollout=BOUNDS))
+        self.fleet.configure(make_config())
+        self.host = await self.fleet.add("n-1", version="v1")
+        await self.fleet.wait_until_ready()
+
+    async def test_upstream_may_be_executing_a_call_whose_client_left(self) -> None:
+        """Guards against a replaced upstream that is ended while it is at work."""
+        owner = self.host.node.owner
+        self.host.upstream.delay_s = 2.0
+        client = asyncio.create_task(self.fleet.call(self.host, deadline_ms=600))
+        await asyncio.sleep(0.2)
+        client.cancel()
+        await asyncio.gather(client, return_exceptions=True)
+        await asyncio.sleep(0.1)
+        self.assertTrue(owner.may_be_executing())
+        await asyncio.sleep(0.6)
+        self.assertFalse(owner.may_be_executing())
+
+    async def test_settings_without_bounds_end_the_use_of_versions(self) -> None:
+        """Guards against a service without upstreams after the settings were changed."""
+        state = self.host.node.state
+        self.assertTrue(state.versions.services)
+        state.bounds.rollout = None
+        self.host.version = "v2"
+        self.host.send_heartbeat(slots=5)
+        await asyncio.sleep(1.0)
+        self.assertFalse(state.versions.services)
+        self.assertEqual((await self.fleet.call(self.host)).status, STATUS_OK)
