Use usual names for pending quota requests and lease steps

Cause: '_Ask', 'refuse_hopeless', '_pump', '_step_of_other' and '_KeptLease' are not usual terms, and the docstring of the conductor said that a final phase is left only for a new order, while a version of the majority replaces it, too. Change: names and comments only. The two mutations of requests.py follow the names.

--- a/gypsumlock/leases/lease_state.py
+++ b/gypsumlock/leases/lease_state.py
@@ -16,7 +16,7 @@
 
 A store that comes back from a copy (`mesh/store_era.py`) may have lost the row. Its
 holder stops at once and may write the row again; all others wait until the holder has
-certainly heard of the new era, or its lease has run out. Tokens of a new era are higher
+certainly observed the new era, or its lease has run out. Tokens of a new era are higher
 than all earlier ones.
 
 It is designed for a few candidates for each lease, a store that may be away for most of
@@ -133,7 +133,7 @@
         self._row: Lease | None = None
         # None until the row was read.
         self._version: int | None = None
-        # When the row version was first seen.
+        # When this version of the row was first seen.
         self._seen_at_s = 0.0
         self._pending: _PendingWrite | None = None
         # True until the row was read, first and after each call that failed.
@@ -177,7 +177,7 @@
             Whether the node should hold the lease if it can.
         """
         if not is_candidate:
-            return self._step_of_other(now_s)
+            return self._step_of_non_candidate(now_s)
         self._releasing = False
         if now_s < self._next_call_at_s:
             return LeaseStep(StepKind.WAIT)
@@ -315,7 +315,7 @@
             return True
         return now_s >= self._seen_at_s + row.duration_s + MARGIN_S
 
-    def _step_of_other(self, now_s: float) -> LeaseStep:
+    def _step_of_non_candidate(self, now_s: float) -> LeaseStep:
         """Return the step of a node that is no candidate."""
         if self.idle or self._row is None or self._version is None:
             # What was seen would be out of date once it is a candidate again.
--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -51,8 +51,8 @@
 
 log = get_logger(Component.ROUTE)
 
-# Minimum time left to the deadline for which it is worth offering a call to an
-# upstream, in seconds.
+# Minimum time left to the deadline with which a call is offered to an upstream, in
+# seconds.
 MIN_TIME_LEFT_S = 0.01
 # Time after the deadline in which a response that the upstream sends at the
 # deadline can still arrive, in seconds.
--- a/gypsumlock/mesh/model.py
+++ b/gypsumlock/mesh/model.py
@@ -259,15 +259,15 @@
 
 
 class OwnerLoad(msgspec.Struct, array_like=True):
-    """Load of an upstream, as measured by its own node."""
+    """Load of an upstream, as its own node observes it."""
 
     slots: Count = 0
     in_flight: Count = 0
     # Expected wait for a slot by rank, in seconds; the last entry covers all lower
     # ranks.
     wait_s: tuple[Duration, ...] = ()
-    # Mean service time of the route of the answered call, in seconds; 0 if none was
-    # measured yet.
+    # Mean service time of the route of the answered call, in seconds; 0 if it is not
+    # known yet.
     service_s: Duration = 0.0
     # Share of recent calls that the upstream failed or rejected.
     failure_share: Share = 0.0
--- a/gypsumlock/quota/account.py
+++ b/gypsumlock/quota/account.py
@@ -99,7 +99,7 @@
         while waiters and waiters[0].until_s <= now_s:
             self._refuse(waiters.popleft(), self.balance.more_at_s(now_s), now_s)
 
-    def refuse_hopeless(self, now_s: float) -> None:
+    def refuse_unservable(self, now_s: float) -> None:
         """Refuse the calls for which no part will have a token in time.
 
         Each exhausted part is expected to have one token at the time that it named.
--- a/gypsumlock/quota/client.py
+++ b/gypsumlock/quota/client.py
@@ -29,7 +29,7 @@
 
 # Longest time that a call waits for a token, in seconds.
 MAX_WAIT_S = 0.15
-# Interval at which late requests and waiting calls are looked at, in seconds.
+# Interval at which late requests and waiting calls are checked, in seconds.
 SWEEP_INTERVAL_S = 0.02
 # Spread of Retry-After beyond the time at which there will be a token, in seconds.
 RETRY_SPREAD_S = 0.2
@@ -81,7 +81,7 @@
         self._clock = clock
         self._loop = asyncio.get_running_loop()
         self._requests = GrantRequests(
-            state, directory, granter, metrics, clock, self._pump
+            state, directory, granter, metrics, clock, self._serve
         )
         self._accounts: dict[str, Account] = {}
         # Version for which accounts of removed organisations were last deleted.
@@ -105,7 +105,7 @@
             return lot
         waiter = Waiter(self._loop.create_future(), now_s + MAX_WAIT_S)
         account.waiters.append(waiter)
-        self._pump(account, now_s)
+        self._serve(account, now_s)
         result = await waiter.future
         if isinstance(result, Lot):
             self._metrics.increment("quota.charged_after_wait")
@@ -147,12 +147,12 @@
             if name not in names and not account.waiters:
                 del self._accounts[name]
 
-    def _pump(self, account: Account, now_s: float) -> None:
+    def _serve(self, account: Account, now_s: float) -> None:
         """Give tokens to the waiting calls, ask for more, or refuse the calls."""
         account.serve_waiters(now_s)
         self._ask_for_more(account, now_s)
         if account.waiters and not account.balance.asked:
-            account.refuse_hopeless(now_s)
+            account.refuse_unservable(now_s)
         if account.waiters:
             self._schedule_sweep()
 
@@ -179,6 +179,6 @@
         for account in self._accounts.values():
             if account.waiters:
                 account.refuse_expired(now_s)
-                self._pump(account, now_s)
+                self._serve(account, now_s)
         if self._requests:
             self._schedule_sweep()
--- a/gypsumlock/quota/requests.py
+++ b/gypsumlock/quota/requests.py
@@ -38,8 +38,8 @@
 FORGET_AFTER_S = 1.0
 
 
-class _Ask:
-    """A request to one node."""
+class _PendingRequest:
+    """A request to one node that has no final answer yet."""
 
     __slots__ = ("accounts", "asked_at_s", "is_late", "node", "slot")
 
@@ -75,7 +75,7 @@
     """
 
     __slots__ = (
-        "_asks",
+        "_pending",
         "_clock",
         "_directory",
         "_granter",
@@ -109,7 +109,7 @@
         self._locators = [HolderLocator() for _ in range(SLOT_COUNT)]
         self._last_number = 0
         # In the order in which they were sent.
-        self._asks: dict[int, _Ask] = {}
+        self._pending: dict[int, _PendingRequest] = {}
         # Tokens to ask for in this pass of the event loop, by slot and organisation.
         self._outbox: dict[int, dict[str, tuple[Account, int]]] = {}
         self._is_flush_due = False
@@ -117,7 +117,7 @@
 
     def __bool__(self) -> bool:
         """Return whether a request has no answer yet."""
-        return bool(self._asks)
+        return bool(self._pending)
 
     def is_reachable(self, slot: int) -> bool:
         """Return whether there is a node to ask for tokens of a slot."""
@@ -134,40 +134,42 @@
 
     def receive(self, grant: Grant) -> None:
         """Use a grant that has arrived."""
-        ask = self._asks.pop(grant.number, None)
-        if ask is None or ask.slot != grant.slot:
+        pending = self._pending.pop(grant.number, None)
+        if pending is None or pending.slot != grant.slot:
             return
         now_s = self._clock()
-        locator = self._locators[ask.slot]
+        locator = self._locators[pending.slot]
         if not grant.token:
             hint = grant.holder if self._directory.has_node(grant.holder) else ""
-            locator.record_not_holder(ask.node, hint, now_s)
-        elif not locator.accept(ask.node, grant.token, now_s):
+            locator.record_not_holder(pending.node, hint, now_s)
+        elif not locator.accept(pending.node, grant.token, now_s):
             self._metrics.increment("quota.old_token")
             log.warning(
-                "grant ignored", node=ask.node, slot=ask.slot, token=grant.token
+                "grant ignored", node=pending.node, slot=pending.slot, token=grant.token
             )
         else:
             for item in grant.items:
-                account = ask.accounts.get(item.organisation)
+                account = pending.accounts.get(item.organisation)
                 if account is not None:
-                    _add_grant(account, ask, grant, item, now_s)
-        self._end(ask, now_s)
+                    _add_grant(account, pending, grant, item, now_s)
+        self._end(pending, now_s)
 
     def replace_late(self, now_s: float) -> None:
         """Let accounts ask other parts in place of those that have not answered."""
-        for number, ask in list(self._asks.items()):
-            age_s = now_s - ask.asked_at_s
+        for number, pending in list(self._pending.items()):
+            age_s = now_s - pending.asked_at_s
             if age_s < ANSWER_TIMEOUT_S:
                 break
             if age_s > FORGET_AFTER_S:
-                del self._asks[number]
-            if not ask.is_late:
-                if self._locators[ask.slot].record_timeout(ask.node, now_s):
-                    log.info("granting node silent", node=ask.node, slot=ask.slot)
-                    self._probe(ask.node)
-                self._end(ask, now_s)
-                ask.is_late = True
+                del self._pending[number]
+            if not pending.is_late:
+                if self._locators[pending.slot].record_timeout(pending.node, now_s):
+                    log.info(
+                        "granting node silent", node=pending.node, slot=pending.slot
+                    )
+                    self._probe(pending.node)
+                self._end(pending, now_s)
+                pending.is_late = True
 
     def _target(self, slot: int, now_s: float) -> str | None:
         return self._locators[slot].target(self._granter.order.nodes(slot), now_s)
@@ -186,14 +188,14 @@
         locator = self._locators[slot]
         node = self._target(slot, now_s)
         accounts = {name: account for name, (account, _) in entries.items()}
-        ask = _Ask(slot, node or "", accounts, now_s)
+        pending = _PendingRequest(slot, node or "", accounts, now_s)
         if node is None or not self._directory.has_node(node):
             if node is not None:
                 locator.record_unreachable(node, now_s)
-            self._end(ask, now_s)
+            self._end(pending, now_s)
             return
         self._last_number += 1
-        self._asks[self._last_number] = ask
+        self._pending[self._last_number] = pending
         locator.record_asked(node, now_s)
         table = self._state.route_table
         request = GrantRequest(
@@ -213,10 +215,10 @@
         else:
             self._directory.connection_to(node).post(request)
 
-    def _end(self, ask: _Ask, now_s: float) -> None:
-        for account in ask.accounts.values():
-            if not ask.is_late:
-                account.balance.asked.pop(ask.slot, None)
+    def _end(self, pending: _PendingRequest, now_s: float) -> None:
+        for account in pending.accounts.values():
+            if not pending.is_late:
+                account.balance.asked.pop(pending.slot, None)
             self._resume(account, now_s)
 
     def _probe(self, node: str) -> None:
@@ -242,20 +244,24 @@
 
 
 def _add_grant(
-    account: Account, ask: _Ask, grant: Grant, item: GrantItem, now_s: float
+    account: Account,
+    pending: _PendingRequest,
+    grant: Grant,
+    item: GrantItem,
+    now_s: float,
 ) -> None:
     """Add granted tokens to a balance; their time counts from the request."""
     lifetime_s = min(grant.lifetime_s, grant_lifetime_s(account.bounds))
     lot = Lot(
-        slot=ask.slot,
+        slot=pending.slot,
         token=grant.token,
         count=item.count,
         issued_ms=grant.issued_ms,
-        asked_at_s=ask.asked_at_s,
-        expires_at_s=ask.asked_at_s + lifetime_s,
+        asked_at_s=pending.asked_at_s,
+        expires_at_s=pending.asked_at_s + lifetime_s,
     )
     account.balance.add(lot, now_s)
     if item.more_after_s > 0:
-        account.balance.record_exhausted(ask.slot, now_s + item.more_after_s)
+        account.balance.record_exhausted(pending.slot, now_s + item.more_after_s)
     else:
-        account.balance.record_available(ask.slot)
+        account.balance.record_available(pending.slot)
--- a/gypsumlock/rollout/conductor.py
+++ b/gypsumlock/rollout/conductor.py
@@ -8,7 +8,8 @@
 
 Does no I/O and reads no clock. What has been decided is in the entries, which the
 feed distributes and the store keeps: the next conductor continues from them. A final
-phase is never left but for a new order.
+phase is left only for a new order, or for the version of most upstreams once none of
+the established version is left.
 """
 
 from __future__ import annotations
--- a/gypsumlock/rollout/wiring.py
+++ b/gypsumlock/rollout/wiring.py
@@ -19,7 +19,7 @@
 LEASE_DURATION_S = 4.0
 
 
-class _KeptLease(ConductorLease):
+class _KeeperLease(ConductorLease):
     """The lease as its keeper holds it."""
 
     __slots__ = ("_keeper",)
@@ -55,7 +55,7 @@
         duration_s=LEASE_DURATION_S,
         store_era=state.store_era,
     )
-    conductor = RolloutController(store, state, node.feed, _KeptLease(keeper), rows)
+    conductor = RolloutController(store, state, node.feed, _KeeperLease(keeper), rows)
     node.peer_server.report_handler = conductor
 
     def broadcast_load() -> None:
--- a/misc/quota_mutations.py
+++ b/misc/quota_mutations.py
@@ -41,7 +41,7 @@
     Mutation(
         "quota: the lifetime of tokens counts from the request",
         "gypsumlock/quota/requests.py",
-        "expires_at_s=ask.asked_at_s + lifetime_s",
+        "expires_at_s=pending.asked_at_s + lifetime_s",
         "expires_at_s=now_s + lifetime_s",
         f"{_FAILURES}.test_grant_that_arrives_late_is_not_used",
     ),
@@ -69,7 +69,8 @@
     Mutation(
         "quota: another part is asked when one does not answer",
         "gypsumlock/quota/requests.py",
-        "                self._end(ask, now_s)\n                ask.is_late = True\n",
+        "                self._end(pending, now_s)\n"
+        "                pending.is_late = True\n",
         "",
         f"{_FAILURES}.test_granting_node_killed",
     ),
