Move retry policy and attempt requests out of caller.py

Change: RetryPolicy decides on and charges retries; make_request builds the request of an attempt; the dispatcher calls both. The comparison with SERVER_ERROR, which stood twice, is is_success. The mutations follow the code. Behaviour is unchanged.

--- a/gypsumlock/mesh/caller.py
+++ b/gypsumlock/mesh/caller.py
@@ -23,6 +23,7 @@
 from gypsumlock.mesh.attempt import Attempt
 from gypsumlock.mesh.call_charger import CallCharger
 from gypsumlock.mesh.call_classifier import Call, CallClassifier
+from gypsumlock.mesh.call_offer import make_request
 from gypsumlock.mesh.call_responder import CallResponder
 from gypsumlock.mesh.directory import UpstreamDirectory
 from gypsumlock.mesh.http_messages import HttpRequest
@@ -31,7 +32,6 @@
 from gypsumlock.mesh.model import (
     Answer,
     CallOutcome,
-    CallRequest,
     ClientLimits,
     Failure,
     OwnerLoad,
@@ -40,7 +40,7 @@
 from gypsumlock.mesh.pacer import CHUNK_BYTES
 from gypsumlock.mesh.placement import CallProfile, UpstreamSelector, UpstreamView
 from gypsumlock.mesh.recent_table import RecentTable
-from gypsumlock.mesh.retry_budget import RetryBudgets
+from gypsumlock.mesh.retry_policy import RetryPolicy, is_success
 from gypsumlock.mesh.state import MeshState
 from gypsumlock.mesh.upload_time import UploadTime
 from gypsumlock.metrics import Metrics
@@ -62,7 +62,6 @@
 MAX_LATE_OFFERS = 2
 # Weight of the newest sample in the moving average of a route's call size.
 SIZE_EWMA_WEIGHT = 0.1
-SERVER_ERROR = 500
 # Maximum logged age of a load report, in seconds. A report of that age carries no
 # information.
 MAX_LOGGED_AGE_S = 999.0
@@ -92,7 +91,7 @@
         "_mean_call_bytes",
         "_metrics",
         "_responder",
-        "_retry_budgets",
+        "_retries",
         "_revocation",
         "_selector",
         "_state",
@@ -116,7 +115,7 @@
         self._loop = asyncio.get_running_loop()
         self._classifier = CallClassifier(state)
         self._revocation = KeyRevocation(state, directory)
-        self._retry_budgets = RetryBudgets(state.bounds.retry_window_s)
+        self._retries = RetryPolicy(state, directory, metrics)
         # Mean total size of request and response by route, in bytes.
         self._mean_call_bytes: RecentTable[str, float] = RecentTable()
         # Of the calls in progress.
@@ -204,71 +203,18 @@
             is_retry = bool(call.sent_to)
             outcome = await self._offer_to_upstreams(call)
             if is_retry and outcome is not None:
-                succeeded = isinstance(outcome, Answer) and (
-                    outcome.status < SERVER_ERROR
-                )
-                self._retry_budgets.yields.record_result(call.service, succeeded)
-            if isinstance(outcome, Answer) and outcome.status < SERVER_ERROR:
+                self._retries.record_result(call, outcome)
+            if isinstance(outcome, Answer) and is_success(outcome):
                 return outcome
             if isinstance(outcome, Answer):
                 call.fallback_answer = outcome
-            if not self._may_retry(call, outcome):
+            if not self._retries.may_retry(call, outcome):
                 return call.fallback_answer
-            if not self._charge_retry(call):
+            if not self._retries.charge(call):
                 return call.fallback_answer
             call.retry_charged = False
             self._metrics.increment("retry")
 
-    def _may_retry(self, call: Call, outcome: CallOutcome | None) -> bool:
-        if outcome is None:
-            return False
-        may_have_run = not isinstance(outcome, Refusal)
-        if may_have_run and not call.route.repeatable:
-            return False
-        return self._has_untried_upstream(call, call.sent_to)
-
-    def _has_untried_upstream(self, call: Call, tried: set[str]) -> bool:
-        """Return whether the call may be sent to one more upstream."""
-        if len(tried) >= call.route.max_attempts:
-            return False
-        views = self._directory.views(call.service)
-        return any(
-            view.node not in tried and not view.ejected
-            for view in self._state.versions.usable(call.service, views)
-        )
-
-    def _charge_retry(self, call: Call) -> bool:
-        """Charge a retry to the budget, unless it has been charged already.
-
-        Return False if the budget is empty.
-        """
-        if call.retry_charged:
-            return True
-        bounds = self._state.bounds
-        own_allowance = bounds.retry_allowance / max(1, self._directory.upstream_count)
-        if not self._retry_budgets.try_spend(
-            call.service,
-            call.route.name,
-            self._loop.time(),
-            bounds.retry_ratio,
-            own_allowance,
-        ):
-            self._metrics.increment("retry.budget_empty")
-            return False
-        call.retry_charged = True
-        return True
-
-    def _may_fail_over(self, call: Call, unresponsive: UpstreamView) -> bool:
-        """Return whether to retry a call instead of waiting for an unresponsive node.
-
-        If so, the retry is charged to the budget. A call that can't be retried keeps
-        waiting: its response may still arrive, and would only be lost otherwise.
-        """
-        if not call.route.repeatable:
-            return False
-        tried = call.sent_to | {unresponsive.node}
-        return self._has_untried_upstream(call, tried) and self._charge_retry(call)
-
     async def _offer_to_upstreams(self, call: Call) -> CallOutcome | None:
         """Offer the call to owners until one takes it; return None if none does."""
         for late_ok, max_offers in (
@@ -306,9 +252,7 @@
     def _record_sent(self, call: Call, view: UpstreamView) -> None:
         """Record that a call was sent to an upstream, or may have been."""
         if not call.sent_to:
-            self._retry_budgets.record_first_attempt(
-                call.service, call.route.name, self._loop.time()
-            )
+            self._retries.record_first_attempt(call)
         call.sent_to.add(view.node)
 
     def _ranked_candidates(self, call: Call) -> Sequence[UpstreamView]:
@@ -337,26 +281,8 @@
         self, call: Call, view: UpstreamView, late_ok: bool, transfer_s: float
     ) -> CallOutcome:
         now_s = self._loop.time()
-        request = CallRequest(
-            number=0,
-            request_id=call.request_id,
-            service=call.service,
-            route=call.route.name,
-            rank=call.rank,
-            repeatable=call.route.repeatable,
-            target_s=call.route.target_latency_s,
-            late_ok=late_ok,
-            response_bytes=self._expected_transfer_bytes(call, view),
-            # The owner counts both from the arrival of the request.
-            target_left_s=call.target_at_s - now_s - transfer_s,
-            deadline_left_s=call.deadline_at_s - now_s - transfer_s,
-            method=call.request.method,
-            target=call.request.target,
-            headers=call.headers,
-            body=call.request.body,
-            first_offer=not call.offered,
-            organisation=call.organisation.name if call.organisation else "",
-        )
+        response_bytes = self._expected_transfer_bytes(call, view)
+        request = make_request(call, late_ok, response_bytes, transfer_s, now_s)
         call.offered = True
         load_age_s = now_s - view.load_at_s
         in_flight = view.in_flight(now_s)
@@ -366,7 +292,7 @@
         self._revocation.begin(call, attempt)
         try:
             outcome = await self._directory.send(
-                view, attempt, lambda: self._may_fail_over(call, view)
+                view, attempt, lambda: self._retries.may_fail_over(call, view.node)
             )
         finally:
             view.outstanding -= 1
--- a/misc/mesh_mutations.py
+++ b/misc/mesh_mutations.py
@@ -44,7 +44,7 @@
     ),
     Mutation(
         "mesh: a call that may have run is not retried unless it is repeatable",
-        "gypsumlock/mesh/caller.py",
+        "gypsumlock/mesh/retry_policy.py",
         "if may_have_run and not call.route.repeatable:",
         "if False:",
         f"{_MESH_CALLS}.TestFaultyResponses.test_connection_is_reset_before_the_response",
@@ -109,9 +109,7 @@
         "gypsumlock/mesh/caller.py",
         "                self._record_refusal(call, outcome)\n",
         "                self._record_refusal(call, outcome)\n"
-        "                self._retry_budgets.record_first_attempt(\n"
-        "                    call.service, call.route.name, self._loop.time()\n"
-        "                )\n",
+        "                self._retries.record_first_attempt(call)\n",
         f"{_MESH_CALLS}.TestRetryLimit.test_calls_that_were_not_sent_allow_no_retries",
     ),
     Mutation(
@@ -228,8 +226,8 @@
     ),
     Mutation(
         "mesh: a call without another upstream keeps waiting for a silent node",
-        "gypsumlock/mesh/caller.py",
-        "return self._has_untried_upstream(call, tried) and self._charge_retry(call)",
+        "gypsumlock/mesh/retry_policy.py",
+        "return self._has_untried_upstream(call, tried) and self.charge(call)",
         "return True",
         f"{_MESH_CALLS}.TestSilence.test_call_without_another_upstream_waits",
     ),
