Move the inbound connection out of peer_server.py

Change: the connection is in inbound_connection.py; peer_server.py exports it as before; the two mutations follow. Behaviour is unchanged.

--- a/misc/report_mutations.py
+++ b/misc/report_mutations.py
@@ -284,7 +284,7 @@
     ),
     Mutation(
         "reports: answers that wait for the link are counted",
-        "gypsumlock/mesh/peer_server.py",
+        "gypsumlock/mesh/inbound_connection.py",
         "            body_bytes = len(outcome.body)\n",
         "            body_bytes = 0\n",
         f"{_HELD}.TestWaitingAnswers.test_answers_that_wait_for_the_link_are_bounded",
@@ -299,7 +299,7 @@
     ),
     Mutation(
         "reports: a call that is cancelled before it has begun is not in flight",
-        "gypsumlock/mesh/peer_server.py",
+        "gypsumlock/mesh/inbound_connection.py",
         "task.add_done_callback(lambda _: self._end_call(request))",
         "pass",
         f"{_HELD}.TestInboundConnection.test_call_cancelled_at_once_is_not_in_flight",
