--- a/gypsumlock/mesh/owner.py
+++ b/gypsumlock/mesh/owner.py
@@ -23,8 +23,9 @@
 )
 from gypsumlock.mesh.pacer import CHUNK_BYTES
 from gypsumlock.mesh.request_body import BodyReceiver
+from gypsumlock.mesh.slot_waiters import SlotWaiters
 from gypsumlock.mesh.state import MeshState
-from gypsumlock.mesh.ticket import AdmissionDecision, Ticket, TicketState
+from gypsumlock.mesh.ticket import Ticket, TicketState
 from gypsumlock.mesh.upstream_capacity import UpstreamCapacity
 from gypsumlock.mesh.upstream_client import UpstreamClient
 from gypsumlock.result_codes import ResultCode
@@ -33,9 +34,6 @@
 
 log = get_logger(Component.ADMIT)
 
-# Interval between checks for queued calls that can no longer be answered in time, in
-# seconds.
-SWEEP_INTERVAL_S = 0.03
 # Refusal codes that apply to all calls of the same service.
 SERVICE_WIDE_REFUSALS = frozenset(
     {
@@ -61,8 +59,6 @@
         "_loop",
         "_queue",
         "_state",
-        "_sweep_timer",
-        "_tickets",
         "_waiters",
     )
 
@@ -72,10 +68,7 @@
         self._queue = AdmissionQueue()
         self._client = UpstreamClient(state)
         self._capacity = UpstreamCapacity()
-        self._waiters: dict[Ticket, asyncio.Future[None]] = {}
-        # Tickets of queued calls by the `id` of their request.
-        self._tickets: dict[int, Ticket] = {}
-        self._sweep_timer: asyncio.TimerHandle | None = None
+        self._waiters = SlotWaiters(self._queue)
 
     def upstream_changed(self) -> None:
         """Apply what the registry now holds about the upstream."""
@@ -142,7 +135,7 @@
             body = self._loop.create_task(receive_body())
         try:
             if decision.state is TicketState.WAITING:
-                decision = await self._wait_for_admission(request, ticket)
+                decision = await self._waiters.wait(request, ticket)
             if decision.state is TicketState.DROPPED:
                 return self._refuse(
                     request, ResultCode.CALL_OVERLOADED, decision.retry_after_s
@@ -154,16 +147,6 @@
                 body.cancel()
         return await self._execute(request, ticket)
 
-    async def _wait_for_admission(
-        self, request: CallRequest, ticket: Ticket
-    ) -> AdmissionDecision:
-        """Wait for a slot; the call can be withdrawn meanwhile."""
-        self._tickets[id(request)] = ticket
-        try:
-            return await self._wait_for_slot(ticket)
-        finally:
-            del self._tickets[id(request)]
-
     async def _wait_for_body(self, body: asyncio.Task[None], ticket: Ticket) -> bool:
         """Wait for the body of an admitted call; free its slot if none arrives."""
         is_complete = False
@@ -175,77 +158,19 @@
             pass
         finally:
             if not is_complete:
-                self._release_slot(ticket, None)
+                self._waiters.release(ticket, None)
         return is_complete
 
     def withdraw(self, request: CallRequest) -> bool:
-        ticket = self._tickets.get(id(request))
-        if ticket is None:
+        withdrawn = self._waiters.withdraw(request)
+        if withdrawn is None:
             # If it has not begun yet, it is refused then.
             request.deadline_left_s = EXPIRED_S
-            return False
-        if ticket.state is not TicketState.WAITING:
-            return False
-        self._withdraw_ticket(ticket)
-        return True
+        return withdrawn is True
 
     def withdraw_all(self) -> None:
         """Refuse every call that still waits for a slot."""
-        for ticket in list(self._tickets.values()):
-            self._withdraw_ticket(ticket)
-
-    def _withdraw_ticket(self, ticket: Ticket) -> None:
-        if ticket.state is not TicketState.WAITING:
-            return
-        self._queue.withdraw(ticket)
-        waiter = self._waiters.get(ticket)
-        if waiter is not None and not waiter.done():
-            waiter.set_result(None)
-
-    # --- queueing ---
-
-    async def _wait_for_slot(self, ticket: Ticket) -> AdmissionDecision:
-        waiter = self._loop.create_future()
-        self._waiters[ticket] = waiter
-        self._schedule_sweep()
-        try:
-            await waiter
-        except asyncio.CancelledError:
-            if ticket.state is TicketState.ADMITTED:
-                self._release_slot(ticket, None)
-            else:
-                self._queue.withdraw(ticket)
-            raise
-        finally:
-            self._waiters.pop(ticket, None)
-        wait_s = 0.0
-        if ticket.state is TicketState.DROPPED:
-            wait_s = self._queue.expected_wait_s(
-                ticket.sort_key(), ticket.priority, self._loop.time(), ticket
-            )
-        return AdmissionDecision(ticket.state, wait_s)
-
-    def _release_slot(self, ticket: Ticket, service_s: float | None) -> None:
-        self._queue.release(ticket, self._loop.time(), service_s)
-        self._wake_ready()
-
-    def _wake_ready(self) -> None:
-        for ticket in self._queue.dequeue(self._loop.time()):
-            waiter = self._waiters.get(ticket)
-            if waiter is not None and not waiter.done():
-                waiter.set_result(None)
-            elif ticket.state is TicketState.ADMITTED:
-                self._queue.release(ticket, self._loop.time(), None)
-
-    def _schedule_sweep(self) -> None:
-        if self._sweep_timer is None:
-            self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL_S, self._run_sweep)
-
-    def _run_sweep(self) -> None:
-        self._sweep_timer = None
-        self._wake_ready()
-        if self._waiters:
-            self._schedule_sweep()
+        self._waiters.withdraw_all()
 
     # --- execution ---
 
@@ -287,9 +212,9 @@
             self._queue.slots = capacity.slots
             ends_at_s = capacity.occupied_until_s(ticket, outcome, now_s)
             if ends_at_s > now_s:
-                self._loop.call_at(ends_at_s, self._release_slot, ticket, None)
+                self._loop.call_at(ends_at_s, self._waiters.release, ticket, None)
             else:
-                self._release_slot(ticket, service_s)
+                self._waiters.release(ticket, service_s)
         log.info(
             "call finished by the owner",
             call=request.request_id.decode("latin-1"),
--- a/tests/test_unsent_calls.py
+++ b/tests/test_unsent_calls.py
@@ -57,7 +57,7 @@
         running = asyncio.create_task(self.fleet.call(self.near, deadline_ms=3000))
         await asyncio.sleep(0.1)
         # An owner without processor time drops waiting calls late.
-        with mock.patch("gypsumlock.mesh.owner.SWEEP_INTERVAL_S", 30.0):
+        with mock.patch("gypsumlock.mesh.slot_waiters.SWEEP_INTERVAL_S", 30.0):
             for host in (self.near, self.owner):
                 with self.subTest(host=host.name):
                     await self.check_refused(host)
