--- a/gypsumlock/mesh/connection_table.py
+++ b/gypsumlock/mesh/connection_table.py
@@ -1,6 +1,6 @@
 """Decides which connections of clients a server keeps when it may keep no more.
 
-Designed for crowds of clients that open connections and send nothing, or their heads
+Designed for many clients that open connections and send nothing, or their heads
 slowly. At the limit a new connection takes the place of one without a request in
 progress: first of one that never had one, the oldest first, then of one that has been
 idle the longest. If every connection has a request in progress, the new one is closed.
--- a/gypsumlock/mesh/descriptor_shares.py
+++ b/gypsumlock/mesh/descriptor_shares.py
@@ -2,7 +2,7 @@
 
 A node needs descriptors for connections that others open, and for those that it opens
 itself: to the store, to its upstream and to other nodes. The first are limited, so that
-a crowd of clients leaves enough for the second.
+a large number of clients leaves enough for the second.
 """
 
 from __future__ import annotations
--- a/gypsumlock/mesh/memory_account.py
+++ b/gypsumlock/mesh/memory_account.py
@@ -61,7 +61,7 @@
         return self._account is None or self._account.has_room(size_bytes)
 
     def make_room(self, size_bytes: int) -> bool:
-        """Return whether a number of bytes can be reserved; have stalled ones released.
+        """Return whether bytes can be reserved; may release those of stalled requests.
 
         Nothing is released for more bytes than the budget has.
         """
--- a/gypsumlock/mesh/model.py
+++ b/gypsumlock/mesh/model.py
@@ -148,7 +148,7 @@
     name: str
     # Digests of its API keys; no node stores the keys themselves.
     key_digests: tuple[bytes, ...] = ()
-    # Goes before the rank of the route; None if the route decides.
+    # Overrides the rank of the route; None if the route decides.
     rank: Rank | None = None
     # Quota of all nodes together: requests per second, and requests in a burst beyond
     # that. A rate of 0 means no limit.
--- a/gypsumlock/mesh/store_era.py
+++ b/gypsumlock/mesh/store_era.py
@@ -6,7 +6,7 @@
 wherever they were read, and a version of one era never equals one of another. The
 number travels in rows, cursors and messages between nodes like any version.
 
-A store that tells no era has era 0; its versions are the numbers that it tells.
+A store that reports no era has era 0; its versions are the numbers that it issues.
 """
 
 from __future__ import annotations
@@ -27,7 +27,7 @@
 
 log = get_logger(Component.CONFIG)
 
-# Bits of a version that the store itself tells; 14 bits are left for the era.
+# Bits of a version that the store itself issues; 14 bits are left for the era.
 VERSION_BITS: Final = 48
 MAX_STORE_VERSION: Final = 2**VERSION_BITS - 1
 MAX_ERA: Final = 2**14 - 1
@@ -44,12 +44,12 @@
 
 
 def store_version(version: int) -> int:
-    """Return a version as the store tells it, without its era."""
+    """Return a version as the store issued it, without its era."""
     return version & MAX_STORE_VERSION
 
 
 class StoreEra:
-    """The latest era that this node has heard of, from the store or another node."""
+    """The latest era that this node knows of, from the store or another node."""
 
     __slots__ = ("_listeners", "number")
 
--- a/gypsumlock/mesh/unfinished_bodies.py
+++ b/gypsumlock/mesh/unfinished_bodies.py
@@ -1,6 +1,6 @@
 """Decides which unfinished request bodies are given up when memory runs short.
 
-Designed for a crowd of clients whose bodies stop just before their end, or go on a byte
+Designed for many clients whose bodies stop just before their end, or go on a byte
 at a time, and stay open: together they hold all memory for requests, and keep out
 everyone else. While there is room, nothing is given up here.
 
--- a/gypsumlock/platform/store_client.py
+++ b/gypsumlock/platform/store_client.py
@@ -105,7 +105,7 @@
     address : str
         Address of the store, as `IP:port`.
     store_era : StoreEra | None
-        Receives the era of the store; None if nobody has to hear of it.
+        Receives the era of the store; None if no other component needs it.
     """
 
     __slots__ = ("_era", "_host", "_pool", "_store_era")
@@ -275,7 +275,7 @@
         return version != 0 and era_of(version) != self._era
 
     def _strip_era(self, version: int) -> int:
-        """Return a version as the store tells it."""
+        """Return a version without its era, as the store expects it."""
         return store_version(version) if self._store_era.number else version
 
     def _decode_rows(self, encoded_rows: list[msgspec.Raw]) -> list[FeedRow]:
--- a/gypsumlock/platform/tenants.py
+++ b/gypsumlock/platform/tenants.py
@@ -34,7 +34,7 @@
 
 class _Tenant(msgspec.Struct, frozen=True):
     api_keys: list[str] = []
-    # Goes before the rank of the route.
+    # Overrides the rank of the route.
     priority: Rank | None = None
     # Quota in requests per second, and in a burst beyond that; 0 for no limit. Decoded
     # separately: a number out of range has a result code of its own.
--- a/gypsumlock/quota/slots.py
+++ b/gypsumlock/quota/slots.py
@@ -27,7 +27,8 @@
 FIRST_CANDIDATES = 2
 # Candidates from this place on release a slot in any case.
 HOLDING_CANDIDATES = 4
-# Lead of the first candidate when the nodes begin to seek slots, in seconds.
+# Time by which the first candidate precedes the others when the nodes begin to seek
+# slots, in seconds.
 FIRST_LEAD_S = 0.6
 # Interval at which a node releases slots, in seconds. The next holder has begun by
 # then, so that few parts are away at a time.
--- a/gypsumlock/rollout/trial.py
+++ b/gypsumlock/rollout/trial.py
@@ -1,10 +1,10 @@
 """Decides when the trial of a version ends, and how.
 
-Designed for orders that allow 12 to 16 s, of which the way of the news and the end of
-the calls at old upstreams take four. The trial has two parts: a small share at first,
-and a larger one for about two seconds if nothing speaks against the version. The second
-part shows what happens under load, and on routes and services with few calls. Both
-together stay below the bound on the calls that a bad version may get.
+Designed for orders that allow 12 to 16 s, of which the propagation of decisions and the
+end of the calls at old upstreams take four. The trial has two parts: a small share at
+first, and a larger one for about two seconds if nothing speaks against the version. The
+second part shows what happens under load, and on routes and services with few calls.
+Both together stay below the bound on the calls that a bad version may get.
 
 Does no I/O and reads no clock.
 """
--- a/gypsumlock/rollout/version_choice.py
+++ b/gypsumlock/rollout/version_choice.py
@@ -11,7 +11,7 @@
 __all__ = ["merge_tiers", "version_tiers"]
 
 # Upstreams of the first choice that a call is offered to before one of the second. All
-# of the first may refuse it, while the news of a decision is on its way.
+# of the first may refuse it, while a decision is being propagated.
 FIRST_TIER_OFFERS = 2
 
 
--- a/gypsumlock/rollout/version_gate.py
+++ b/gypsumlock/rollout/version_gate.py
@@ -192,7 +192,7 @@
             and entry.phase in REPORTED_PHASES
             and (entry.order_version, entry.token) == self._rolled_back
         ):
-            # The entry that says so is still on its way.
+            # The entry with that decision has not arrived yet.
             is_established = incarnation.version == entry.established
             return Acceptance.ACCEPT if is_established else Acceptance.REFUSE
         return self._table.acceptance(
