--- a/gypsumlock/mesh/state.py
+++ b/gypsumlock/mesh/state.py
@@ -73,12 +73,12 @@
 class RolloutBounds:
     """Bounds on the calls that a version under roll-out receives before it is judged.
 
-    It may receive `exposure_share` of a service's calls and `exposure_allowance` calls,
+    It may receive `canary_share` of a service's calls and `canary_allowance` calls,
     and none later than `rollback_s` seconds after it was found to be bad.
     """
 
-    exposure_share: float
-    exposure_allowance: float
+    canary_share: float
+    canary_allowance: float
     rollback_s: float
 
 
--- a/gypsumlock/quota/parts.py
+++ b/gypsumlock/quota/parts.py
@@ -51,8 +51,8 @@
 MAX_LIFETIME_S = 0.25
 # A shorter one would end before the grant arrives.
 MIN_LIFETIME_S = 0.02
-# Capacity of a bucket where the tolerance has room for it. With one token, a sixth of
-# the usual demand of an organisation with 6 calls per second was refused.
+# Capacity of a bucket where the tolerance has room for it. With a single token, calls
+# that arrive together are refused although the rate is not used up.
 USEFUL_CAPACITY = 3.0
 # Share of the tolerance that it may take.
 SPARE_SHARE = 0.5
--- a/gypsumlock/quota/slots.py
+++ b/gypsumlock/quota/slots.py
@@ -44,6 +44,8 @@
 # The same for one that does not answer: initial and maximum.
 MIN_SILENT_PERIOD_S = 0.25
 MAX_SILENT_PERIOD_S = 2.0
+# Silent nodes whose periods are kept.
+MAX_SILENT_NODES = 64
 # Time without an answer after which a node counts as silent, in seconds.
 SILENCE_S = 0.3
 # Nodes asked in turn before the slot counts as vacant, and the time until it is sought
@@ -300,6 +302,9 @@
     def record_unreachable(self, node: str, now_s: float) -> None:
         """Record that a node can't be reached."""
         period_s = self._silent_for_s.get(node, MIN_SILENT_PERIOD_S)
+        if len(self._silent_for_s) >= MAX_SILENT_NODES:
+            # Of machines that are gone for good, most likely.
+            self._silent_for_s.clear()
         self._silent_for_s[node] = min(MAX_SILENT_PERIOD_S, 2 * period_s)
         self._unanswered_since_s.pop(node, None)
         self._avoid(node, period_s, now_s)
--- a/gypsumlock/rollout/trial.py
+++ b/gypsumlock/rollout/trial.py
@@ -72,17 +72,17 @@
     """Bounds on the calls that a bad version may get."""
 
     @property
-    def exposure_share(self) -> float:
+    def canary_share(self) -> float:
         """Share of the service's calls from the order to its deadline."""
 
     @property
-    def exposure_allowance(self) -> float:
+    def canary_allowance(self) -> float:
         """Calls beyond that share."""
 
 
 def small_share(bounds: TrialBounds) -> float:
     """Return the share of the calls in the first part of a trial."""
-    return min(MAX_SHARE, SMALL_SHARE_OF_BOUND * bounds.exposure_share)
+    return min(MAX_SHARE, SMALL_SHARE_OF_BOUND * bounds.canary_share)
 
 
 def larger_share(bounds: TrialBounds, calls_per_s: float, duration_s: float) -> float:
@@ -99,8 +99,8 @@
     """
     second_part_s = (DECIDE_LATEST_SHARE - ENLARGE_AFTER_SHARE) * duration_s
     calls = max(1.0, calls_per_s * second_part_s)
-    extra = ALLOWANCE_SHARE * bounds.exposure_allowance / calls
-    return min(MAX_SHARE, LARGER_SHARE_OF_BOUND * bounds.exposure_share + extra)
+    extra = ALLOWANCE_SHARE * bounds.canary_allowance / calls
+    return min(MAX_SHARE, LARGER_SHARE_OF_BOUND * bounds.canary_share + extra)
 
 
 def decide_trial(
--- a/misc/simulate_rollouts.py
+++ b/misc/simulate_rollouts.py
@@ -109,7 +109,7 @@
     if len(run.bad_at_s) >= COUNTED_BAD:
         end_s = run.bad_at_s[COUNTED_BAD - 1] + BOUNDS.rollback_s
         late_calls = sum(at_s > end_s for at_s in run.exposed_at_s)
-    exposure = (run.exposed - BOUNDS.exposure_allowance) / run.calls
+    exposure = (run.exposed - BOUNDS.canary_allowance) / run.calls
     return Run(run.phase, exposure, late_calls, run.refused, run.ended_at_s)
 
 
@@ -119,7 +119,7 @@
         return run.phase is RolloutPhase.COMPLETED
     return (
         run.phase is RolloutPhase.ROLLED_BACK
-        and run.exposure <= BOUNDS.exposure_share
+        and run.exposure <= BOUNDS.canary_share
         and run.late_calls == 0
     )
 
--- a/tests/test_rollout_judgement.py
+++ b/tests/test_rollout_judgement.py
@@ -73,7 +73,7 @@
                 run = RolloutSimulation(UPSTREAMS, RATE_PER_S, quality, seed=seed)
                 run.run()
                 self.assertIs(run.phase, RolloutPhase.ROLLED_BACK)
-                allowed = BOUNDS.exposure_share * run.calls + BOUNDS.exposure_allowance
+                allowed = BOUNDS.canary_share * run.calls + BOUNDS.canary_allowance
                 self.assertLessEqual(run.exposed, allowed)
                 if len(run.bad_at_s) >= COUNTED_BAD:
                     end_s = run.bad_at_s[COUNTED_BAD - 1] + BOUNDS.rollback_s
@@ -149,7 +149,7 @@
         run.run(4.0)
         run.conductor, run.has_conductor = None, False
         run.run(12.0)
-        allowed = BOUNDS.exposure_share * run.calls + BOUNDS.exposure_allowance
+        allowed = BOUNDS.canary_share * run.calls + BOUNDS.canary_allowance
         self.assertLessEqual(run.exposed, allowed)
         self.assertLessEqual(max(run.exposed_at_s), 4.0 + BOUNDS.rollback_s)
 
--- a/tests/test_rollout_path.py
+++ b/tests/test_rollout_path.py
@@ -29,7 +29,7 @@
     route_resource,
 )
 
-BOUNDS = RolloutBounds(exposure_share=0.1, exposure_allowance=50, rollback_s=5.0)
+BOUNDS = RolloutBounds(canary_share=0.1, canary_allowance=50, rollback_s=5.0)
 DURATION_S = 9.0
 HOSTS = 3
 CALL_INTERVAL_S = 0.025
@@ -148,7 +148,7 @@
         await asyncio.sleep(1.0)
         self.assertEqual(self.calls_of(self.new), exposed)
         total = exposed + self.calls_of(self.old) - before
-        allowed = BOUNDS.exposure_share * total + BOUNDS.exposure_allowance
+        allowed = BOUNDS.canary_share * total + BOUNDS.canary_allowance
         self.assertLessEqual(exposed, allowed)
         # What the new version fails is sent to the old one.
         self.assertNotIn(STATUS_ERROR, self.traffic.statuses)
