--- a/review/standins_2/node.py
+++ b/review/standins_2/node.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import random
 import shlex
 import signal
 import socket
@@ -17,16 +18,22 @@
 __all__ = ["Node", "free_addresses"]
 
 ROOT = Path(__file__).parents[2]
+# Below the ports that the system gives to outgoing connections.
+FIRST_PORT, LAST_PORT = 12_000, 30_000
+
+_used_ports: set[int] = set()
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return loopback addresses whose ports are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    addresses = [f"127.0.0.1:{item.getsockname()[1]}" for item in sockets]
-    for item in sockets:
-        item.close()
+    """Return loopback addresses whose ports are free now, each of them once."""
+    addresses: list[str] = []
+    while len(addresses) < count:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as probe:
+            if port in _used_ports or probe.connect_ex(("127.0.0.1", port)) == 0:
+                continue
+        _used_ports.add(port)
+        addresses.append(f"127.0.0.1:{port}")
     return addresses
 
 
